--- /dev/null
+++ b/config/view.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"math/bits"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// serversPerGroup is the wanted size of a placement group. A query sends its
+// sub-requests for one group in one batch, which divides the cost of the hop
+// between daemons by about this number.
+const serversPerGroup = 8
+
+// Placed is a backend server with what the manifest says of its service.
+type Placed struct {
+	Server  Server
+	Service *Service
+	// Group is the placement group, the unit of ownership.
+	Group string
+}
+
+// View is an immutable index over a Value. Readers share it without locks.
+type View struct {
+	Value    Value
+	services map[string]*Service
+	servers  map[string]Placed
+	groups   map[string][]string
+	tenants  map[string]Tenant
+	byTenant map[string][]string
+	out      map[string]bool
+}
+
+// NewView indexes a value. The value must not change afterwards.
+func NewView(value Value) *View {
+	v := &View{
+		Value:    value,
+		services: make(map[string]*Service, len(value.Manifest.Services)),
+		servers:  make(map[string]Placed),
+		groups:   make(map[string][]string),
+		tenants:  make(map[string]Tenant, len(value.Manifest.Tenants)),
+		byTenant: make(map[string][]string),
+		out:      make(map[string]bool, len(value.Out)),
+	}
+	for _, t := range value.Manifest.Tenants {
+		v.tenants[t.Name] = t
+	}
+	for _, z := range value.Out {
+		v.out[z] = true
+	}
+	v.indexServices()
+	return v
+}
+
+func (v *View) indexServices() {
+	counts := make(map[string]int)
+	for i := range v.Value.Manifest.Services {
+		s := &v.Value.Manifest.Services[i]
+		for _, server := range s.Servers {
+			counts[server.Zone+"/"+s.Tenant]++
+		}
+	}
+	for i := range v.Value.Manifest.Services {
+		s := &v.Value.Manifest.Services[i]
+		v.services[s.Name] = s
+		v.byTenant[s.Tenant] = append(v.byTenant[s.Tenant], s.Name)
+		for _, server := range s.Servers {
+			prefix := server.Zone + "/" + s.Tenant
+			group := groupOf(prefix, server.Name, counts[prefix])
+			v.servers[server.Name] = Placed{Server: server, Service: s, Group: group}
+			v.groups[group] = append(v.groups[group], server.Name)
+		}
+	}
+}
+
+// groupOf spreads the servers of one tenant in one zone over a power of two of
+// groups, so that adding a server seldom moves the others.
+func groupOf(prefix, server string, count int) string {
+	groups := uint64(1)
+	if count > serversPerGroup {
+		groups = 1 << bits.Len(uint((count-1)/serversPerGroup))
+	}
+	return prefix + "/" + strconv.FormatUint(xxhash.Sum64String(server)%groups, 10)
+}
+
+// Service returns the service with the given name.
+func (v *View) Service(name string) (*Service, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// Server returns the backend server with the given name.
+func (v *View) Server(name string) (Placed, bool) {
+	p, ok := v.servers[name]
+	return p, ok
+}
+
+// Tenant returns the tenant with the given name.
+func (v *View) Tenant(name string) (Tenant, bool) {
+	t, ok := v.tenants[name]
+	return t, ok
+}
+
+// ServicesOf returns the names of a tenant's services in manifest order.
+func (v *View) ServicesOf(tenant string) []string { return v.byTenant[tenant] }
+
+// Groups returns the names of all placement groups of a zone, sorted.
+func (v *View) Groups(zone string) []string {
+	var names []string
+	for name, servers := range v.groups {
+		if v.servers[servers[0]].Server.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// GroupServers returns the names of the servers in a placement group.
+func (v *View) GroupServers(group string) []string { return v.groups[group] }
+
+// Servers returns the number of backend servers.
+func (v *View) Servers() int { return len(v.servers) }
+
+// IsOut reports whether operators took a zone out of service.
+func (v *View) IsOut(zone string) bool { return v.out[zone] }
--- /dev/null
+++ b/fault/error.go
@@ -0,0 +1,88 @@
+package fault
+
+import (
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Reason classifies a failure. Its text is part of the callers' interface.
+type Reason string
+
+// Reasons of failures and of missing coverage.
+const (
+	ReasonBadRequest    Reason = "bad_request"
+	ReasonTooLarge      Reason = "too_large"
+	ReasonUnknown       Reason = "unknown_service"
+	ReasonDeadline      Reason = "deadline"
+	ReasonOverload      Reason = "overload"
+	ReasonZoneOut       Reason = "zone_out"
+	ReasonStale         Reason = "stale_configuration"
+	ReasonNotOwner      Reason = "not_owner"
+	ReasonTerm          Reason = "term_lapsed"
+	ReasonCold          Reason = "cold"
+	ReasonDraining      Reason = "draining"
+	ReasonDown          Reason = "down"
+	ReasonShed          Reason = "shed"
+	ReasonSilent        Reason = "silent_connection"
+	ReasonConnection    Reason = "connection"
+	ReasonTruncated     Reason = "truncated"
+	ReasonVersion       Reason = "version_missing"
+	ReasonNoReplica     Reason = "no_replica"
+	ReasonCoverage      Reason = "coverage"
+	ReasonStore         Reason = "store_unavailable"
+	ReasonDuplicate     Reason = "duplicate"
+	ReasonStopping      Reason = "stopping"
+	ReasonInternal      Reason = "internal"
+	ReasonNotAuthorized Reason = "not_authorized"
+	ReasonConflict      Reason = "conflict"
+)
+
+// Error is a failure with a verdict. RetryAfter is zero where no time to retry
+// after is known.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error returns the reason, the verdict and the cause.
+func (e *Error) Error() string {
+	text := string(e.Reason) + " (" + e.Verdict.String() + ")"
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an Error with a formatted cause that records its origin.
+func New(verdict Verdict, reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: verdict, Reason: reason, Err: oops.Errorf(format, args...)}
+}
+
+// VerdictOf returns the verdict that err carries, NotRun for nil, and
+// MayHaveRun for an error without a verdict.
+func VerdictOf(err error) Verdict {
+	if err == nil {
+		return NotRun{}
+	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Verdict
+	}
+	return MayHaveRun{}
+}
+
+// ReasonOf returns the reason that err carries, or ReasonInternal.
+func ReasonOf(err error) Reason {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Reason
+	}
+	return ReasonInternal
+}
--- /dev/null
+++ b/member/rank.go
@@ -0,0 +1,30 @@
+package member
+
+import "github.com/cespare/xxhash/v2"
+
+// OwnerOf returns the host that owns a placement group by rendezvous hashing
+// over the zone's live hosts, and false if there are none. Removing a host
+// moves only the groups that it owned.
+func OwnerOf(group string, hosts []Host) (Host, bool) {
+	var (
+		best  Host
+		top   uint64
+		found bool
+	)
+	for _, h := range hosts {
+		weight := weigh(group, h.Name)
+		if !found || weight > top || (weight == top && h.Name < best.Name) {
+			best, top, found = h, weight, true
+		}
+	}
+	return best, found
+}
+
+func weigh(group, host string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(group)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(host)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/shard/catalog.go
@@ -0,0 +1,38 @@
+package shard
+
+import "slices"
+
+// Held lists what a backend server holds of one index version. All is the
+// complete partition map of its service in that version; Shards is the subset
+// that this server holds.
+type Held struct {
+	Version Version
+	All     []string
+	Shards  []string
+}
+
+// Report is a backend server's own description of its state. It may lag or
+// mislead, so decisions trust requests over it, except for Draining, which is
+// only ever believed when true.
+type Report struct {
+	Server   string
+	Draining bool
+	Held     []Held
+}
+
+// Catalog is what an owner knows of the versions of one server.
+type Catalog struct {
+	Server  string
+	Service string
+	Stamp   uint64
+	Held    []Held
+}
+
+// At returns what the server holds at a version.
+func (c Catalog) At(version Version) (Held, bool) {
+	i := slices.IndexFunc(c.Held, func(h Held) bool { return h.Version == version })
+	if i < 0 {
+		return Held{}, false
+	}
+	return c.Held[i], true
+}
--- /dev/null
+++ b/shard/shard.go
@@ -0,0 +1,164 @@
+// Package shard holds the vocabulary that the entry side and the owner side
+// of the tier share: sub-requests, their outcomes, partial answers and the
+// catalog of index versions.
+package shard
+
+import (
+	"time"
+
+	"hyssophub/fault"
+)
+
+// Class is the scheduling class of a request. Urgent work never waits behind
+// routine work.
+type Class uint8
+
+// Classes in the order in which queues serve them.
+const (
+	Urgent Class = iota
+	Routine
+	// Classes is the number of classes.
+	Classes
+)
+
+// String returns the name of the class in settings, requests and metrics.
+func (c Class) String() string {
+	if c == Urgent {
+		return "urgent"
+	}
+	return "routine"
+}
+
+// ParseClass returns the class with the given name. An empty name is routine.
+func ParseClass(name string) (Class, bool) {
+	switch name {
+	case "urgent":
+		return Urgent, true
+	case "routine", "":
+		return Routine, true
+	default:
+		return Routine, false
+	}
+}
+
+// Version numbers an index version. Zero means unknown.
+type Version uint64
+
+// Sub is a sub-request: the part of a query that goes to one backend server.
+type Sub struct {
+	// ID is unique in the fleet: a random base for each start of a daemon plus
+	// a counter.
+	ID      uint64
+	Request string
+	Tenant  string
+	Service string
+	Server  string
+	Version Version
+	Shards  []string
+	Text    string
+	// Limit is the largest number of hits wanted per shard.
+	Limit    int
+	Class    Class
+	Deadline time.Time
+	// Write marks a request that is not idempotent.
+	Write bool
+	// Key is the caller's request key of a write.
+	Key string
+	// Hedge marks a duplicate of a sub-request that is still in progress; the
+	// owner admits it only into a spare slot.
+	Hedge bool
+}
+
+// Hit is one search result. Hits order by descending score, then by key.
+type Hit struct {
+	Key   string
+	Score float64
+	Text  string
+}
+
+// Part is the partial answer for one shard of one index version.
+type Part struct {
+	Version Version
+	Shard   string
+	Hits    []Hit
+}
+
+// Outcome is what became of a sub-request. The interface is sealed.
+type Outcome interface{ outcome() }
+
+type (
+	// Answered carries the partial answers of a sub-request that ran.
+	Answered struct {
+		Parts []Part
+		// Receipt is the backend server's record of a write.
+		Receipt string
+	}
+	// Refused means that the sub-request did not run.
+	Refused struct {
+		Reason     fault.Reason
+		RetryAfter time.Duration
+	}
+	// Failed means that the sub-request may have run, or ran without a usable
+	// answer.
+	Failed struct {
+		Verdict fault.Verdict
+		Reason  fault.Reason
+	}
+)
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Failed) outcome()   {}
+
+// VerdictOf returns the verdict that an outcome implies.
+func VerdictOf(outcome Outcome) fault.Verdict {
+	switch o := outcome.(type) {
+	case Answered:
+		return fault.Ran{}
+	case Refused:
+		return fault.NotRun{}
+	case Failed:
+		return o.Verdict
+	default:
+		return fault.MayHaveRun{}
+	}
+}
+
+// Figures are an owner's recent figures of a backend server, sent along with
+// each result so that entry hosts can choose between replicas.
+type Figures struct {
+	Server string
+	// Latency is the recent median service time.
+	Latency time.Duration
+	// Tail is the recent 95th percentile of the service time.
+	Tail time.Duration
+	// Queued and Busy count sub-requests at the owner; Free counts slots that
+	// may be used now, which the ramp can hold below the server's slots.
+	Queued int
+	Busy   int
+	Free   int
+	// Usable is false while the server drains, is gone or lacks an owner.
+	Usable bool
+	// Stamp changes whenever the server's catalog changes.
+	Stamp uint64
+}
+
+// Result is the outcome of one sub-request with the owner's figures. Took is
+// the time from admission at the owner to the outcome.
+type Result struct {
+	Sub     uint64
+	Server  string
+	Outcome Outcome
+	Took    time.Duration
+	Figures Figures
+}
+
+// Batch is a set of sub-requests of one class for servers of one owner.
+type Batch struct {
+	// From is the name of the sending host.
+	From string
+	// Revision is the configuration revision the sender planned with.
+	Revision uint64
+	Class    Class
+	Subs     []Sub
+}
--- /dev/null
+++ b/work/pool.go
@@ -0,0 +1,96 @@
+// Package work provides the worker pool on which every daemon runs its jobs.
+package work
+
+import (
+	"errors"
+	"sync"
+
+	"hyssophub/shard"
+)
+
+// Errors of Pool.Submit. In both cases the job was not taken.
+var (
+	ErrFull   = errors.New("work: queue is full")
+	ErrClosed = errors.New("work: pool is closed")
+)
+
+// Pool runs jobs of type J on a fixed number of workers. Urgent jobs are taken
+// before routine ones, and each class has a bounded queue of its own, so that
+// routine load cannot fill the urgent queue.
+type Pool[J any] struct {
+	handle func(J)
+	limit  int
+
+	mu     sync.Mutex
+	ready  *sync.Cond
+	queues [shard.Classes][]J
+	closed bool
+
+	workers sync.WaitGroup
+}
+
+// NewPool starts workers that call handle for each job. Each class queues at
+// most limit jobs.
+func NewPool[J any](workers, limit int, handle func(J)) *Pool[J] {
+	p := &Pool[J]{handle: handle, limit: limit}
+	p.ready = sync.NewCond(&p.mu)
+	for range workers {
+		p.workers.Go(p.run)
+	}
+	return p
+}
+
+// Submit queues a job and returns ErrFull or ErrClosed if it was not taken.
+func (p *Pool[J]) Submit(class shard.Class, job J) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return ErrClosed
+	}
+	if len(p.queues[class]) >= p.limit {
+		return ErrFull
+	}
+	p.queues[class] = append(p.queues[class], job)
+	p.ready.Signal()
+	return nil
+}
+
+// Close refuses new jobs, runs the queued ones and waits for the workers.
+func (p *Pool[J]) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.ready.Broadcast()
+	p.mu.Unlock()
+	p.workers.Wait()
+}
+
+func (p *Pool[J]) run() {
+	for {
+		job, ok := p.take()
+		if !ok {
+			return
+		}
+		p.handle(job)
+	}
+}
+
+func (p *Pool[J]) take() (J, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		for c := range p.queues {
+			if len(p.queues[c]) > 0 {
+				job := p.queues[c][0]
+				var zero J
+				p.queues[c][0] = zero
+				p.queues[c] = p.queues[c][1:]
+				return job, true
+			}
+		}
+		if p.closed {
+			var zero J
+			return zero, false
+		}
+		p.ready.Wait()
+	}
+}
