--- /dev/null
+++ b/cmds/cmds.go
@@ -0,0 +1,67 @@
+// Package cmds is the command line of hyssophub.
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the program.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Streams are the standard streams of a command.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+type root struct {
+	Log   string   `help:"Layers that log at debug level: query,owner,member,config,peer,admin or all."`
+	Demo  demoCmd  `cmd:"" help:"Run a deployment with stand-ins in this process and query it."`
+	Serve serveCmd `cmd:"" help:"Run an entry host."`
+}
+
+// errUsage marks an error in how a command was called.
+var errUsage = errors.New("usage")
+
+// Run executes a command line without the program's name and returns its exit
+// code.
+func Run(args []string, streams Streams) int {
+	var (
+		cli  root
+		exit = -1
+	)
+	parser, err := kong.New(&cli,
+		kong.Name("hyssophub"),
+		kong.Description("A query tier over many shards."),
+		kong.Writers(streams.Out, streams.Err),
+		kong.Exit(func(code int) { exit = code }),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(streams.Err, err)
+		return ExitFailed
+	}
+	command, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(streams.Err, "hyssophub:", err)
+		return ExitUsage
+	}
+	if err := command.Run(&cli, &streams); err != nil {
+		_, _ = fmt.Fprintln(streams.Err, "hyssophub:", err)
+		if errors.Is(err, errUsage) {
+			return ExitUsage
+		}
+		return ExitFailed
+	}
+	return ExitDone
+}
--- a/config/manifest.go
+++ b/config/manifest.go
@@ -32,6 +32,9 @@
 	Region string
 	// Hosts is the number of entry hosts that the platform runs in the zone.
 	Hosts int
+	// Via names the zone whose hosts own this zone's servers, for a zone
+	// without entry hosts. Empty means the zone itself.
+	Via string
 }
 
 // Tenant is a user group of the deployment. Class applies to requests that
--- a/config/view.go
+++ b/config/view.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"strconv"
@@ -19,6 +20,8 @@
 	Service *Service
 	// Group is the placement group, the unit of ownership.
 	Group string
+	// Home is the zone whose hosts own the server.
+	Home string
 }
 
 // View is an immutable index over a Value. Readers share it without locks.
@@ -30,6 +33,7 @@
 	tenants  map[string]Tenant
 	byTenant map[string][]string
 	out      map[string]bool
+	homes    map[string]string
 }
 
 // NewView indexes a value. The value must not change afterwards.
@@ -42,6 +46,10 @@
 		tenants:  make(map[string]Tenant, len(value.Manifest.Tenants)),
 		byTenant: make(map[string][]string),
 		out:      make(map[string]bool, len(value.Out)),
+		homes:    make(map[string]string, len(value.Manifest.Zones)),
+	}
+	for _, z := range value.Manifest.Zones {
+		v.homes[z.Name] = cmp.Or(z.Via, z.Name)
 	}
 	for _, t := range value.Manifest.Tenants {
 		v.tenants[t.Name] = t
@@ -68,7 +76,7 @@
 		for _, server := range s.Servers {
 			prefix := server.Zone + "/" + s.Tenant
 			group := groupOf(prefix, server.Name, counts[prefix])
-			v.servers[server.Name] = Placed{Server: server, Service: s, Group: group}
+			v.servers[server.Name] = Placed{Server: server, Service: s, Group: group, Home: v.homes[server.Zone]}
 			v.groups[group] = append(v.groups[group], server.Name)
 		}
 	}
@@ -105,11 +113,12 @@
 // ServicesOf returns the names of a tenant's services in manifest order.
 func (v *View) ServicesOf(tenant string) []string { return v.byTenant[tenant] }
 
-// Groups returns the names of all placement groups of a zone, sorted.
+// Groups returns the names of the placement groups that a zone's hosts own,
+// sorted.
 func (v *View) Groups(zone string) []string {
 	var names []string
 	for name, servers := range v.groups {
-		if v.servers[servers[0]].Server.Zone == zone {
+		if v.servers[servers[0]].Home == zone {
 			names = append(names, name)
 		}
 	}
--- /dev/null
+++ b/event/bus.go
@@ -0,0 +1,137 @@
+package event
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+)
+
+const topic = "events"
+
+// buffer is the number of events that a slow subscriber may fall behind before
+// publishers wait.
+const buffer = 256
+
+// Bus delivers published events to all subscribers in order.
+type Bus struct {
+	channel *gochannel.GoChannel
+	ctx     context.Context
+	cancel  context.CancelFunc
+	readers sync.WaitGroup
+}
+
+// NewBus returns a bus without subscribers.
+func NewBus() *Bus {
+	b := &Bus{channel: gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: buffer}, watermill.NopLogger{})}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	return b
+}
+
+// Publish sends an event to all subscribers.
+func (b *Bus) Publish(e Event) error {
+	payload, err := encode(e)
+	if err != nil {
+		return err
+	}
+	return b.channel.Publish(topic, message.NewMessage(watermill.NewShortUUID(), payload))
+}
+
+// Subscribe calls handle for each event until the bus is closed. Calls for one
+// subscriber never overlap.
+func (b *Bus) Subscribe(handle func(Event)) error {
+	messages, err := b.channel.Subscribe(b.ctx, topic)
+	if err != nil {
+		return err
+	}
+	b.readers.Go(func() {
+		for m := range messages {
+			if e, err := decode(m.Payload); err == nil {
+				handle(e)
+			}
+			m.Ack()
+		}
+	})
+	return nil
+}
+
+// Close stops delivery and waits for the subscribers.
+func (b *Bus) Close() error {
+	b.cancel()
+	err := b.channel.Close()
+	b.readers.Wait()
+	return err
+}
+
+type wireEvent struct {
+	Kind     string `json:"kind"`
+	Subject  string `json:"subject,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Kind returns the name and the subject of an event that other daemons of the
+// zone should hear of, and false for events that stay in the process.
+func Kind(e Event) (kind, subject string, ok bool) {
+	switch e := e.(type) {
+	case ServerDraining:
+		return "draining", e.Server, true
+	case ServerCold:
+		return "cold", e.Server, true
+	case HostLeaving:
+		return "leaving", e.Host, true
+	case ConfigAccepted, MembersChanged:
+		return "", "", false
+	}
+	return "", "", false
+}
+
+// Parse returns the event that Kind named.
+func Parse(kind, subject string) (Event, bool) {
+	switch kind {
+	case "draining":
+		return ServerDraining{Server: subject}, true
+	case "cold":
+		return ServerCold{Server: subject}, true
+	case "leaving":
+		return HostLeaving{Host: subject}, true
+	default:
+		return nil, false
+	}
+}
+
+func encode(e Event) ([]byte, error) {
+	switch e := e.(type) {
+	case ConfigAccepted:
+		return json.Marshal(wireEvent{Kind: "config", Revision: e.Revision})
+	case MembersChanged:
+		return json.Marshal(wireEvent{Kind: "members", Subject: e.Zone})
+	default:
+		kind, subject, _ := Kind(e)
+		return json.Marshal(wireEvent{Kind: kind, Subject: subject})
+	}
+}
+
+func decode(payload []byte) (Event, error) {
+	var w wireEvent
+	if err := json.Unmarshal(payload, &w); err != nil {
+		return nil, err
+	}
+	switch w.Kind {
+	case "config":
+		return ConfigAccepted{Revision: w.Revision}, nil
+	case "members":
+		return MembersChanged{Zone: w.Subject}, nil
+	}
+	e, ok := Parse(w.Kind, w.Subject)
+	if !ok {
+		return nil, errUnknown(w.Kind)
+	}
+	return e, nil
+}
+
+type errUnknown string
+
+func (e errUnknown) Error() string { return "event: unknown kind " + string(e) }
--- /dev/null
+++ b/fakes/store.go
@@ -0,0 +1,284 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// maxValue is the largest value that the store takes, in bytes.
+const maxValue = 1 << 20
+
+// Store is a stand-in for the platform: a key-value service with
+// compare-and-swap, leases and watches, and the list of hosts.
+type Store struct {
+	listener net.Listener
+	http     *http.Server
+	serving  sync.WaitGroup
+
+	mu       sync.Mutex
+	entries  map[string]entry
+	revision uint64
+	changed  chan struct{}
+	leases   map[uint64]lease
+	hosts    []Host
+	fault    StoreFault
+	calls    map[string]int
+}
+
+type entry struct {
+	value    []byte
+	revision uint64
+	lease    uint64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Host is an entry of the host list.
+type Host struct {
+	Name  string `json:"name"`
+	Kind  string `json:"kind"`
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+	Peer  string `json:"peer,omitempty"`
+	Beat  string `json:"beat,omitempty"`
+}
+
+// StoreFault makes the store fail.
+type StoreFault struct {
+	// Down refuses every call.
+	Down bool
+	// Slow delays every call.
+	Slow time.Duration
+	// LoseEvery cuts the connection after each n-th write took effect; zero
+	// loses none.
+	LoseEvery int
+}
+
+// NewStore starts a store. An empty address takes a free port on loopback.
+func NewStore(address string) (*Store, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		listener: listener,
+		entries:  make(map[string]entry),
+		changed:  make(chan struct{}),
+		leases:   make(map[uint64]lease),
+		calls:    make(map[string]int),
+	}
+	router := chi.NewRouter()
+	router.Use(s.gate)
+	router.Get("/kv/*", s.get)
+	router.Put("/kv/*", s.put)
+	router.Post("/lease", s.grant)
+	router.Put("/lease/{id}", s.renew)
+	router.Get("/hosts", s.list)
+	s.http = &http.Server{Handler: router, ReadHeaderTimeout: time.Minute}
+	s.serving.Go(func() { _ = s.http.Serve(listener) })
+	return s, nil
+}
+
+// Address returns the address that the store listens on.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// SetFault replaces the faults in force.
+func (s *Store) SetFault(fault StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// SetHosts replaces the host list.
+func (s *Store) SetHosts(hosts []Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = hosts
+}
+
+// Calls returns the number of calls by kind: get, put, watch, lease, hosts.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for kind, n := range s.calls {
+		calls[kind] = n
+	}
+	return calls
+}
+
+// Close stops the store and waits.
+func (s *Store) Close() error {
+	err := s.http.Close()
+	s.serving.Wait()
+	return err
+}
+
+func (s *Store) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		fault := s.fault
+		s.mu.Unlock()
+		if fault.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !sleep(r.Context(), fault.Slow) {
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	key := chi.URLParam(r, "*")
+	after, watching := r.URL.Query().Get("after"), r.URL.Query().Has("after")
+	if !watching {
+		s.count("get")
+		e, _ := s.read(key)
+		respond(w, http.StatusOK, e)
+		return
+	}
+	s.count("watch")
+	revision, _ := strconv.ParseUint(after, 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
+	respond(w, http.StatusOK, s.await(r.Context(), key, revision, time.Duration(wait)*time.Millisecond))
+}
+
+// await returns the entry once its revision is above after, or when wait ends.
+func (s *Store) await(ctx context.Context, key string, after uint64, wait time.Duration) entry {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		e, changed := s.read(key)
+		if e.revision > after {
+			return e
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return e
+		case <-ctx.Done():
+			return e
+		}
+	}
+}
+
+func (s *Store) read(key string) (entry, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	return s.entries[key], s.changed
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	s.count("put")
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
+	if err != nil || len(value) > maxValue {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	previous, _ := strconv.ParseUint(r.Header.Get("Revision"), 10, 64)
+	lease, _ := strconv.ParseUint(r.Header.Get("Lease"), 10, 64)
+	e, status, lost := s.swap(chi.URLParam(r, "*"), previous, value, lease)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	respond(w, status, e)
+}
+
+func (s *Store) swap(key string, previous uint64, value []byte, leaseID uint64) (entry, int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if _, ok := s.leases[leaseID]; leaseID != 0 && !ok {
+		return entry{}, http.StatusGone, false
+	}
+	if current := s.entries[key]; current.revision != previous {
+		return current, http.StatusConflict, false
+	}
+	s.revision++
+	e := entry{value: value, revision: s.revision, lease: leaseID}
+	s.entries[key] = e
+	close(s.changed)
+	s.changed = make(chan struct{})
+	lost := s.fault.LoseEvery > 0 && int(s.revision)%s.fault.LoseEvery == 0
+	return entry{revision: e.revision}, http.StatusOK, lost
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	s.count("lease")
+	ms, _ := strconv.ParseInt(r.URL.Query().Get("ttl"), 10, 64)
+	ttl := time.Duration(ms) * time.Millisecond
+	s.mu.Lock()
+	s.revision++
+	id := s.revision
+	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	w.Header().Set("Lease", strconv.FormatUint(id, 10))
+}
+
+func (s *Store) renew(w http.ResponseWriter, r *http.Request) {
+	s.count("lease")
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	l, ok := s.leases[id]
+	if !ok {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+}
+
+func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
+	s.count("hosts")
+	s.mu.Lock()
+	hosts := append([]Host{}, s.hosts...)
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(hosts)
+}
+
+// expire drops lapsed leases with their keys.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, e := range s.entries {
+			if e.lease == id {
+				delete(s.entries, key)
+			}
+		}
+	}
+}
+
+func (s *Store) count(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+}
+
+func respond(w http.ResponseWriter, status int, e entry) {
+	w.Header().Set("Revision", strconv.FormatUint(e.revision, 10))
+	w.WriteHeader(status)
+	_, _ = w.Write(e.value)
+}
--- /dev/null
+++ b/kvhttp/client.go
@@ -0,0 +1,196 @@
+// Package kvhttp is the HTTP adapter to the platform: its key-value service
+// and its list of hosts.
+package kvhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"hyssophub/store"
+
+	"github.com/samber/oops"
+)
+
+// Headers of the platform's HTTP interface.
+const (
+	headerRevision = "Revision"
+	headerLease    = "Lease"
+)
+
+// DefaultWait is how long a watch waits for a change. Each return confirms
+// that the configuration is still the newest.
+const DefaultWait = 500 * time.Millisecond
+
+// callTimeout ends a call whose answer does not come.
+const callTimeout = 2 * time.Second
+
+// Client implements store.KV and store.Hosts over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+	wait time.Duration
+}
+
+// NewClient returns a client for the platform at an IP address and port.
+func NewClient(address string) *Client {
+	return &Client{
+		base: "http://" + address,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}},
+		wait: DefaultWait,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements store.KV.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	return c.entry(ctx, http.MethodGet, key, "", nil, nil)
+}
+
+// Swap implements store.KV.
+func (c *Client) Swap(ctx context.Context, key string, revision uint64, value []byte, lease store.LeaseID) (store.Entry, error) {
+	if len(value) > store.MaxValue {
+		return store.Entry{}, store.ErrTooLarge
+	}
+	header := http.Header{headerRevision: {strconv.FormatUint(revision, 10)}}
+	if lease != 0 {
+		header.Set(headerLease, strconv.FormatUint(uint64(lease), 10))
+	}
+	return c.entry(ctx, http.MethodPut, key, "", header, value)
+}
+
+// Watch implements store.KV.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {strconv.FormatInt(c.wait.Milliseconds(), 10)}}
+	return c.entry(ctx, http.MethodGet, key, "?"+query.Encode(), nil, nil)
+}
+
+// Grant implements store.KV.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	r, err := c.call(ctx, http.MethodPost, "/lease?ttl="+strconv.FormatInt(ttl.Milliseconds(), 10), nil, nil)
+	if err != nil {
+		return 0, err
+	}
+	id, err := strconv.ParseUint(r.header.Get(headerLease), 10, 64)
+	if err != nil {
+		return 0, store.ErrUnknown
+	}
+	return store.LeaseID(id), nil
+}
+
+// Renew implements store.KV.
+func (c *Client) Renew(ctx context.Context, lease store.LeaseID) error {
+	_, err := c.call(ctx, http.MethodPut, "/lease/"+strconv.FormatUint(uint64(lease), 10), nil, nil)
+	return err
+}
+
+// List implements store.Hosts.
+func (c *Client) List(ctx context.Context) ([]store.HostInfo, error) {
+	r, err := c.call(ctx, http.MethodGet, "/hosts", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	var list []wireHost
+	if err := json.Unmarshal(r.body, &list); err != nil {
+		return nil, oops.Wrapf(err, "host list")
+	}
+	hosts := make([]store.HostInfo, 0, len(list))
+	for _, h := range list {
+		hosts = append(hosts, store.HostInfo{
+			Name:  h.Name,
+			Kind:  store.HostKind(h.Kind),
+			Zone:  h.Zone,
+			State: store.HostState(h.State),
+			Peer:  h.Peer,
+			Beat:  h.Beat,
+		})
+	}
+	return hosts, nil
+}
+
+type wireHost struct {
+	Name  string `json:"name"`
+	Kind  string `json:"kind"`
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+	Peer  string `json:"peer,omitempty"`
+	Beat  string `json:"beat,omitempty"`
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *Client) entry(ctx context.Context, method, key, query string, header http.Header, value []byte) (store.Entry, error) {
+	r, err := c.call(ctx, method, "/kv/"+key+query, header, value)
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return store.Entry{}, err
+	}
+	revision, parseErr := strconv.ParseUint(r.header.Get(headerRevision), 10, 64)
+	if parseErr != nil {
+		return store.Entry{}, store.ErrUnknown
+	}
+	entry := store.Entry{Key: key, Revision: revision, Value: r.body}
+	if method == http.MethodPut && err == nil {
+		entry.Value = value
+	}
+	return entry, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, oops.Wrapf(err, "platform request")
+	}
+	for k, v := range header {
+		request.Header[k] = v
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply{}, callError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, store.MaxValue+1))
+	if err != nil {
+		return reply{}, errors.Join(store.ErrUnknown, err)
+	}
+	r := reply{status: response.StatusCode, header: response.Header, body: content}
+	return r, statusError(r.status)
+}
+
+func callError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Join(store.ErrUnavailable, err)
+	}
+	return errors.Join(store.ErrUnknown, err)
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return store.ErrConflict
+	case http.StatusGone:
+		return store.ErrLease
+	case http.StatusRequestEntityTooLarge:
+		return store.ErrTooLarge
+	case http.StatusServiceUnavailable:
+		return store.ErrUnavailable
+	default:
+		return store.ErrUnknown
+	}
+}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,64 @@
+// Package logs makes structured loggers whose layers are switched on by flag.
+package logs
+
+import (
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+)
+
+// Layers that can be switched to debug level.
+const (
+	LayerQuery  = "query"
+	LayerOwner  = "owner"
+	LayerMember = "member"
+	LayerConfig = "config"
+	LayerPeer   = "peer"
+	LayerAdmin  = "admin"
+)
+
+// Layers returns the names of all layers.
+func Layers() []string {
+	return []string{LayerQuery, LayerOwner, LayerMember, LayerConfig, LayerPeer, LayerAdmin}
+}
+
+// Logs makes the loggers of one process.
+type Logs struct {
+	base  zerolog.Logger
+	debug []string
+}
+
+// New returns loggers that write JSON lines to w. debug lists the layers that
+// log at debug level, separated by commas; "all" switches on every layer.
+func New(w io.Writer, debug string) (*Logs, error) {
+	l := &Logs{base: zerolog.New(w).Level(zerolog.DebugLevel).With().Timestamp().Logger()}
+	if debug == "all" {
+		l.debug = Layers()
+		return l, nil
+	}
+	for _, name := range strings.Split(debug, ",") {
+		if name == "" {
+			continue
+		}
+		if !slices.Contains(Layers(), name) {
+			return nil, oops.Errorf("log layer %q is unknown, allowed are %s and all", name, strings.Join(Layers(), ", "))
+		}
+		l.debug = append(l.debug, name)
+	}
+	return l, nil
+}
+
+// Discard returns loggers that write nothing.
+func Discard() *Logs { return &Logs{base: zerolog.Nop()} }
+
+// Layer returns the logger of a layer.
+func (l *Logs) Layer(name string) zerolog.Logger {
+	level := zerolog.InfoLevel
+	if slices.Contains(l.debug, name) {
+		level = zerolog.DebugLevel
+	}
+	return l.base.With().Str("layer", name).Logger().Level(level)
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,194 @@
+// Package peer is the adapter between the daemons of the tier: twirp calls
+// over TCP.
+package peer
+
+import (
+	"time"
+
+	"hyssophub/fault"
+	"hyssophub/owner"
+	"hyssophub/peer/peerpb"
+	"hyssophub/shard"
+)
+
+// encodeBatch converts a batch; deadlines travel as the time left, so that the
+// clocks of two hosts need not agree.
+func encodeBatch(batch shard.Batch, now time.Time) *peerpb.Batch {
+	w := &peerpb.Batch{From: batch.From, Revision: batch.Revision, Class: uint32(batch.Class)}
+	subs := make([]peerpb.Sub, len(batch.Subs))
+	w.Subs = make([]*peerpb.Sub, len(batch.Subs))
+	for i := range batch.Subs {
+		s := &batch.Subs[i]
+		p := &subs[i]
+		p.Id, p.Request, p.Tenant, p.Service, p.Server = s.ID, s.Request, s.Tenant, s.Service, s.Server
+		p.Version, p.Shards, p.Text, p.Limit = uint64(s.Version), s.Shards, s.Text, uint32(s.Limit)
+		p.Left, p.Write, p.Key, p.Hedge = s.Deadline.Sub(now).Microseconds(), s.Write, s.Key, s.Hedge
+		w.Subs[i] = p
+	}
+	return w
+}
+
+func decodeBatch(w *peerpb.Batch, now time.Time) shard.Batch {
+	class := shard.Routine
+	if w.GetClass() == uint32(shard.Urgent) {
+		class = shard.Urgent
+	}
+	batch := shard.Batch{From: w.GetFrom(), Revision: w.GetRevision(), Class: class, Subs: make([]shard.Sub, 0, len(w.GetSubs()))}
+	for _, s := range w.GetSubs() {
+		batch.Subs = append(batch.Subs, shard.Sub{
+			ID:       s.GetId(),
+			Request:  s.GetRequest(),
+			Tenant:   s.GetTenant(),
+			Service:  s.GetService(),
+			Server:   s.GetServer(),
+			Version:  shard.Version(s.GetVersion()),
+			Shards:   s.GetShards(),
+			Text:     s.GetText(),
+			Limit:    int(s.GetLimit()),
+			Class:    class,
+			Deadline: now.Add(micros(s.GetLeft())),
+			Write:    s.GetWrite(),
+			Key:      s.GetKey(),
+			Hedge:    s.GetHedge(),
+		})
+	}
+	return batch
+}
+
+func encodeResults(results []shard.Result) *peerpb.Results {
+	w := &peerpb.Results{Results: make([]*peerpb.Result, 0, len(results))}
+	for _, r := range results {
+		p := &peerpb.Result{Sub: r.Sub, Server: r.Server, Took: r.Took.Microseconds(), Figures: encodeFigures(r.Figures)}
+		switch o := r.Outcome.(type) {
+		case shard.Answered:
+			p.Outcome = &peerpb.Result_Answered{Answered: encodeAnswered(o)}
+		case shard.Refused:
+			p.Outcome = &peerpb.Result_Refused{Refused: &peerpb.Refused{Reason: string(o.Reason), After: o.RetryAfter.Microseconds()}}
+		case shard.Failed:
+			p.Outcome = &peerpb.Result_Failed{Failed: &peerpb.Failed{Verdict: o.Verdict.String(), Reason: string(o.Reason)}}
+		}
+		w.Results = append(w.Results, p)
+	}
+	return w
+}
+
+func encodeAnswered(o shard.Answered) *peerpb.Answered {
+	w := &peerpb.Answered{Receipt: o.Receipt, Parts: make([]*peerpb.Part, 0, len(o.Parts))}
+	for _, p := range o.Parts {
+		part := &peerpb.Part{Version: uint64(p.Version), Shard: p.Shard, Hits: make([]*peerpb.Hit, 0, len(p.Hits))}
+		for _, h := range p.Hits {
+			part.Hits = append(part.Hits, &peerpb.Hit{Key: h.Key, Score: h.Score, Text: h.Text})
+		}
+		w.Parts = append(w.Parts, part)
+	}
+	return w
+}
+
+// decodeResults converts results. A result without a known outcome is one that
+// may have run.
+func decodeResults(w *peerpb.Results) []shard.Result {
+	results := make([]shard.Result, 0, len(w.GetResults()))
+	for _, p := range w.GetResults() {
+		r := shard.Result{Sub: p.GetSub(), Server: p.GetServer(), Took: micros(p.GetTook()), Figures: decodeFigures(p.GetFigures())}
+		switch o := p.GetOutcome().(type) {
+		case *peerpb.Result_Answered:
+			r.Outcome = decodeAnswered(o.Answered)
+		case *peerpb.Result_Refused:
+			r.Outcome = shard.Refused{Reason: fault.Reason(o.Refused.GetReason()), RetryAfter: micros(o.Refused.GetAfter())}
+		case *peerpb.Result_Failed:
+			r.Outcome = shard.Failed{Verdict: fault.ParseVerdict(o.Failed.GetVerdict()), Reason: fault.Reason(o.Failed.GetReason())}
+		default:
+			r.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonInternal}
+		}
+		results = append(results, r)
+	}
+	return results
+}
+
+func decodeAnswered(w *peerpb.Answered) shard.Answered {
+	o := shard.Answered{Receipt: w.GetReceipt(), Parts: make([]shard.Part, 0, len(w.GetParts()))}
+	for _, p := range w.GetParts() {
+		part := shard.Part{Version: shard.Version(p.GetVersion()), Shard: p.GetShard(), Hits: make([]shard.Hit, 0, len(p.GetHits()))}
+		for _, h := range p.GetHits() {
+			part.Hits = append(part.Hits, shard.Hit{Key: h.GetKey(), Score: h.GetScore(), Text: h.GetText()})
+		}
+		o.Parts = append(o.Parts, part)
+	}
+	return o
+}
+
+func encodeFigures(f shard.Figures) *peerpb.Figures {
+	return &peerpb.Figures{
+		Server:  f.Server,
+		Latency: f.Latency.Microseconds(),
+		Tail:    f.Tail.Microseconds(),
+		Queued:  uint32(f.Queued),
+		Busy:    uint32(f.Busy),
+		Free:    uint32(f.Free),
+		Usable:  f.Usable,
+		Stamp:   f.Stamp,
+	}
+}
+
+func decodeFigures(w *peerpb.Figures) shard.Figures {
+	return shard.Figures{
+		Server:  w.GetServer(),
+		Latency: micros(w.GetLatency()),
+		Tail:    micros(w.GetTail()),
+		Queued:  int(w.GetQueued()),
+		Busy:    int(w.GetBusy()),
+		Free:    int(w.GetFree()),
+		Usable:  w.GetUsable(),
+		Stamp:   w.GetStamp(),
+	}
+}
+
+func encodeCatalogs(catalogs []shard.Catalog) *peerpb.Catalogs {
+	w := &peerpb.Catalogs{Catalogs: make([]*peerpb.Catalog, 0, len(catalogs))}
+	for _, c := range catalogs {
+		p := &peerpb.Catalog{Server: c.Server, Service: c.Service, Stamp: c.Stamp}
+		for _, h := range c.Held {
+			p.Held = append(p.Held, &peerpb.Held{Version: uint64(h.Version), All: h.All, Shards: h.Shards})
+		}
+		w.Catalogs = append(w.Catalogs, p)
+	}
+	return w
+}
+
+func decodeCatalogs(w *peerpb.Catalogs) []shard.Catalog {
+	catalogs := make([]shard.Catalog, 0, len(w.GetCatalogs()))
+	for _, p := range w.GetCatalogs() {
+		c := shard.Catalog{Server: p.GetServer(), Service: p.GetService(), Stamp: p.GetStamp()}
+		for _, h := range p.GetHeld() {
+			c.Held = append(c.Held, shard.Held{Version: shard.Version(h.GetVersion()), All: h.GetAll(), Shards: h.GetShards()})
+		}
+		catalogs = append(catalogs, c)
+	}
+	return catalogs
+}
+
+func encodeStates(from string, states []owner.State) *peerpb.State {
+	w := &peerpb.State{From: from}
+	for _, s := range states {
+		p := &peerpb.ServerState{Server: s.Server, Warm: s.Warm, Draining: s.Draining, Latency: s.Latency.Microseconds()}
+		for _, b := range s.Busy {
+			p.Busy = append(p.Busy, b.Microseconds())
+		}
+		w.Servers = append(w.Servers, p)
+	}
+	return w
+}
+
+func decodeStates(w *peerpb.State) []owner.State {
+	states := make([]owner.State, 0, len(w.GetServers()))
+	for _, p := range w.GetServers() {
+		s := owner.State{Server: p.GetServer(), Warm: p.GetWarm(), Draining: p.GetDraining(), Latency: micros(p.GetLatency())}
+		for _, b := range p.GetBusy() {
+			s.Busy = append(s.Busy, micros(b))
+		}
+		states = append(states, s)
+	}
+	return states
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/props/props.go
@@ -0,0 +1,23 @@
+// Package props fixes the seed of property tests, so that a run of the tests
+// never varies.
+package props
+
+import (
+	"flag"
+	"strconv"
+	"testing"
+
+	_ "pgregory.net/rapid" // registers the flag that Main sets
+)
+
+// seed is used unless the command line names another. Zero draws a new one.
+const seed = 20261204
+
+// Main runs the tests of a package with the fixed seed. Run more cases with
+// "go test ./PACKAGE -rapid.seed=0 -rapid.checks=10000".
+func Main(m *testing.M) int {
+	if err := flag.Set("rapid.seed", strconv.Itoa(seed)); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/query/record.go
@@ -0,0 +1,126 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/shard"
+)
+
+// need is one shard that a query wants covered.
+type need struct {
+	service *config.Service
+	shard   string
+	covered bool
+	reason  fault.Reason
+	// open counts the attempts in progress for the shard.
+	open int
+	// attempts counts all attempts, tried names their servers.
+	attempts int
+	tried    []string
+}
+
+// attempt is a sub-request in progress.
+type attempt struct {
+	sub    shard.Sub
+	record *record
+	needs  []*need
+	sent   time.Time
+	hedged bool
+}
+
+// record is a query in progress. The table's lock guards it.
+type record struct {
+	request  Request
+	started  time.Time
+	version  shard.Version
+	needs    []*need
+	parts    []shard.Part
+	open     map[uint64]*attempt
+	waiting  int
+	runs     int
+	subs     int
+	extra    int
+	finished bool
+	answer   Answer
+	done     chan struct{}
+}
+
+func newRecord(request Request, now time.Time) *record {
+	return &record{
+		request: request,
+		started: now,
+		open:    make(map[uint64]*attempt),
+		done:    make(chan struct{}),
+	}
+}
+
+// settled reports whether nothing is left to wait for.
+func (r *record) settled() bool {
+	if r.waiting > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(r.needs, func(n *need) bool { return !n.covered && n.open > 0 })
+}
+
+// accept takes the parts of an answer that belong to the pinned version and to
+// the shards that were asked for. Everything else counts as not covered.
+func (r *record) accept(a *attempt, answered shard.Answered) {
+	for _, p := range answered.Parts {
+		if p.Version != r.version {
+			continue
+		}
+		i := slices.IndexFunc(a.needs, func(n *need) bool { return n.shard == p.Shard })
+		if i < 0 || a.needs[i].covered {
+			continue
+		}
+		a.needs[i].covered = true
+		r.parts = append(r.parts, p)
+	}
+}
+
+// fail notes why the uncovered shards of an attempt are still missing.
+func (a *attempt) fail(reason fault.Reason) {
+	for _, n := range a.needs {
+		if !n.covered {
+			n.reason = reason
+		}
+	}
+}
+
+// coverage lists what is covered and what is missing.
+func (r *record) coverage() Coverage {
+	c := Coverage{Total: len(r.needs)}
+	for _, n := range r.needs {
+		if n.covered {
+			c.Covered++
+			continue
+		}
+		reason := n.reason
+		if reason == "" {
+			reason = fault.ReasonDeadline
+		}
+		c.Missing = append(c.Missing, Missing{Service: n.service.Name, Shard: n.shard, Reason: reason})
+	}
+	return c
+}
+
+// finish computes the answer and wakes the caller.
+func (r *record) finish(now time.Time) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	r.answer = Answer{
+		Request:  r.request.ID,
+		Snapshot: r.version,
+		Coverage: r.coverage(),
+		Hits:     Merge(r.parts, r.request.Limit),
+		Took:     now.Sub(r.started),
+		Subs:     r.subs,
+		Extra:    r.extra,
+	}
+	close(r.done)
+}
--- /dev/null
+++ b/setup/settings.go
@@ -0,0 +1,144 @@
+// Package setup reads and checks the settings file of an entry host.
+package setup
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Name string
+	Zone string
+	// Caller, Admin and Peer are TCP addresses, Beat is a UDP address; all
+	// are IP numbers with a port.
+	Caller string
+	Admin  string
+	Peer   string
+	Beat   string
+	// Platform is the address of the platform's service.
+	Platform string
+	// Tokens is the path of the file with the offices' tokens.
+	Tokens string
+	Stop   Stop
+}
+
+// Stop holds the time limits of a planned stop.
+type Stop struct {
+	// Notice is how long the host goes on serving after it reported unready,
+	// until the balancer has noticed.
+	Notice time.Duration
+	// Finish is how long requests in progress may take to end.
+	Finish time.Duration
+}
+
+// Defaults of the time limits.
+const (
+	defaultNotice = 5 * time.Second
+	defaultFinish = 30 * time.Second
+)
+
+type wireSettings struct {
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Caller   string   `json:"caller"`
+	Admin    string   `json:"admin"`
+	Peer     string   `json:"peer"`
+	Beat     string   `json:"beat"`
+	Platform string   `json:"platform"`
+	Tokens   string   `json:"tokens"`
+	Stop     wireStop `json:"stop"`
+}
+
+type wireStop struct {
+	Notice string `json:"notice"`
+	Finish string `json:"finish"`
+}
+
+// Read reads and checks a settings file. The error names the file, each wrong
+// field, and what is allowed.
+func Read(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.Wrapf(err, "settings")
+	}
+	settings, err := Decode(data)
+	if err != nil {
+		return Settings{}, oops.Wrapf(err, "settings %s", path)
+	}
+	return settings, nil
+}
+
+// Decode reads and checks settings. Unknown fields are errors.
+func Decode(data []byte) (Settings, error) {
+	var w wireSettings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&w); err != nil {
+		return Settings{}, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Settings{}, errors.New("more than one JSON value")
+	}
+	settings := Settings{
+		Name:     w.Name,
+		Zone:     w.Zone,
+		Caller:   w.Caller,
+		Admin:    w.Admin,
+		Peer:     w.Peer,
+		Beat:     w.Beat,
+		Platform: w.Platform,
+		Tokens:   w.Tokens,
+	}
+	var faults []error
+	faults = append(faults, checkName("name", w.Name), checkName("zone", w.Zone))
+	for _, field := range []struct{ name, value string }{
+		{"caller", w.Caller}, {"admin", w.Admin}, {"peer", w.Peer}, {"beat", w.Beat}, {"platform", w.Platform},
+	} {
+		faults = append(faults, checkAddress(field.name, field.value))
+	}
+	var err error
+	settings.Stop.Notice, err = limit("stop.notice", w.Stop.Notice, defaultNotice)
+	faults = append(faults, err)
+	settings.Stop.Finish, err = limit("stop.finish", w.Stop.Finish, defaultFinish)
+	faults = append(faults, err)
+	return settings, errors.Join(faults...)
+}
+
+func checkName(field, value string) error {
+	if value == "" || len(value) > 64 {
+		return oops.Errorf("field %q is %q, allowed is a name of 1 to 64 characters", field, value)
+	}
+	return nil
+}
+
+func checkAddress(field, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.Atoi(port)
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || number < 0 || number > 65535 {
+		return oops.Errorf("field %q is %q, allowed is an IP number and a port such as 127.0.0.1:8080", field, value)
+	}
+	return nil
+}
+
+// maxStop bounds the time limits of a planned stop.
+const maxStop = 10 * time.Minute
+
+func limit(field, value string, preset time.Duration) (time.Duration, error) {
+	if value == "" {
+		return preset, nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 || d > maxStop {
+		return 0, oops.Errorf("field %q is %q, allowed is a duration from 0s to %s", field, value, maxStop)
+	}
+	return d, nil
+}
