Guard non-idempotent requests by a claim in the store

Cause: a request that may not be repeated had no guard against a second run through a repeat, a lost answer or another host. Change: package once claims the request key by compare-and-swap before dispatch, records the outcome, and releases the key after proof that nothing ran. A claim that could still be under way when its request ends is forestalled by a write at the revision that it expects. Each host keeps its share of 200 writes a second. Package codec gains the JSON of the record.

--- /dev/null
+++ b/codec/once.go
@@ -0,0 +1,67 @@
+package codec
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/samber/oops"
+
+	"hyssophub/once"
+)
+
+// Names of the states of a request key in the store.
+const (
+	stateClaimed  = "claimed"
+	stateDone     = "done"
+	stateReleased = "released"
+)
+
+type wireOnce struct {
+	Digest  string `json:"digest"`
+	State   string `json:"state"`
+	Claim   string `json:"claim"`
+	Host    string `json:"host,omitempty"`
+	Receipt string `json:"receipt,omitempty"`
+}
+
+// Once encodes the records of request keys. It implements once.Codec.
+type Once struct{}
+
+// Encode implements once.Codec.
+func (Once) Encode(stored once.Stored) ([]byte, error) {
+	w := wireOnce{Digest: stored.Digest}
+	switch s := stored.State.(type) {
+	case once.Claimed:
+		w.State, w.Claim, w.Host = stateClaimed, s.Claim, s.Host
+	case once.Done:
+		w.State, w.Claim, w.Receipt = stateDone, s.Claim, s.Receipt
+	case once.Released:
+		w.State, w.Claim = stateReleased, s.Claim
+	default:
+		return nil, oops.Errorf("request key has no state")
+	}
+	return json.Marshal(w)
+}
+
+// Decode implements once.Codec. Unknown fields are an error, since a newer
+// version could have given the record another meaning.
+func (Once) Decode(data []byte) (once.Stored, error) {
+	var w wireOnce
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&w); err != nil {
+		return once.Stored{}, oops.Wrapf(err, "request key")
+	}
+	stored := once.Stored{Digest: w.Digest}
+	switch w.State {
+	case stateClaimed:
+		stored.State = once.Claimed{Claim: w.Claim, Host: w.Host}
+	case stateDone:
+		stored.State = once.Done{Claim: w.Claim, Receipt: w.Receipt}
+	case stateReleased:
+		stored.State = once.Released{Claim: w.Claim}
+	default:
+		return once.Stored{}, oops.Errorf("request key has state %q", w.State)
+	}
+	return stored, nil
+}
--- /dev/null
+++ b/once/calls.go
@@ -0,0 +1,149 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/route"
+	"hyssophub/shard"
+	"hyssophub/store"
+)
+
+// claim makes the next store call for a claim.
+func (e *Engine) claim(r *record) {
+	step := e.table.startClaim(r, time.Now())
+	call, ok := step.(claimNext)
+	if !ok {
+		e.follow(r, step)
+		return
+	}
+	if call.extra {
+		e.charge()
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, r.request.Deadline)
+	defer cancel()
+	e.follow(r, e.table.claimed(r, e.claimCall(ctx, r, call), time.Now()))
+}
+
+func (e *Engine) claimCall(ctx context.Context, r *record, call claimNext) claimAnswer {
+	if call.read {
+		found, err := e.ports.KV.Get(ctx, r.key)
+		return readAnswer(e.ports.Codec, found, err)
+	}
+	return e.swap(ctx, r, Claimed{Claim: r.claim, Host: e.options.Host}, call.revision)
+}
+
+// swap writes a state under the lease of this host.
+func (e *Engine) swap(ctx context.Context, r *record, state State, revision uint64) claimAnswer {
+	lease, err := e.leases.get(ctx)
+	if err != nil {
+		return swapUntaken{}
+	}
+	value, err := e.ports.Codec.Encode(Stored{Digest: r.digest, State: state})
+	if err != nil {
+		return swapUntaken{}
+	}
+	written, err := e.ports.KV.Swap(ctx, r.key, revision, value, lease)
+	if errors.Is(err, store.ErrLease) {
+		e.leases.drop(lease)
+	}
+	return swapAnswer(e.ports.Codec, written, err)
+}
+
+// charge takes a repeated store call out of the host's share, so that new
+// requests wait for it.
+func (e *Engine) charge() { e.limiter.ReserveN(time.Now(), 1) }
+
+// settle records the end of a request in the store.
+func (e *Engine) settle(r *record) {
+	state, revision := e.table.startSettle(r)
+	ctx, cancel := context.WithTimeout(e.ctx, settleCall)
+	answer := e.swap(ctx, r, state, revision)
+	cancel()
+	step := e.table.settled(r, answer, e.closing())
+	e.table.answer(r, time.Now())
+	if again, ok := step.(settleNext); ok {
+		e.charge()
+		e.submit(r.request.Class, settleJob{record: r}, again.pause)
+		return
+	}
+	e.settles.Done()
+}
+
+// dispatch sends a claimed request to the owner of a replica.
+func (e *Engine) dispatch(r *record) {
+	now := time.Now()
+	view := e.config.View()
+	sub, step, ok := e.table.dispatch(r, func(id uint64, tried []string) (shard.Sub, bool) {
+		pick, ok := e.choose(view, r.request, tried, now)
+		return r.sub(id, pick.server, pick.version), ok
+	}, now)
+	if !ok {
+		e.follow(r, step)
+		return
+	}
+	host, ok := e.ports.Directory.OwnerOf(sub.Server)
+	if !ok {
+		e.take(shard.Result{Sub: sub.ID, Server: sub.Server, Outcome: shard.Refused{Reason: fault.ReasonNotOwner}})
+		return
+	}
+	e.send(host, shard.Batch{From: e.options.Host, Revision: view.Value.Revision, Class: sub.Class, Subs: []shard.Sub{sub}})
+}
+
+// send performs one call to an owner. A result that is not ready arrives at
+// Deliver.
+func (e *Engine) send(host string, batch shard.Batch) {
+	sub := batch.Subs[0]
+	ctx, cancel := context.WithDeadline(e.ctx, sub.Deadline)
+	defer cancel()
+	results, err := e.ports.Link.Submit(ctx, host, batch)
+	if err == nil {
+		e.Deliver(results)
+		return
+	}
+	var outcome shard.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonOf(err)}
+	if _, ok := fault.VerdictOf(err).(fault.NotRun); ok {
+		outcome = shard.Refused{Reason: fault.ReasonOf(err)}
+	}
+	e.take(shard.Result{Sub: sub.ID, Server: sub.Server, Outcome: outcome})
+}
+
+// take hands a result to its request and the replica's figures to the route
+// table.
+func (e *Engine) take(result shard.Result) bool {
+	r, step, ok := e.table.take(result, e.route.SpendRetry)
+	if !ok {
+		return false
+	}
+	e.route.Observe(result, time.Now())
+	e.follow(r, step)
+	return true
+}
+
+// pick is the replica for a request.
+type pick struct {
+	server  config.Server
+	version shard.Version
+}
+
+// choose selects the replica with the most shards of the newest version, since
+// a request that writes goes to one backend server only.
+func (e *Engine) choose(view *config.View, request Request, tried []string, now time.Time) (pick, bool) {
+	service, ok := view.Service(request.Service)
+	if !ok {
+		return pick{}, false
+	}
+	version, ok := e.route.Snapshot(view, []string{request.Service}, now)
+	if !ok {
+		return pick{}, false
+	}
+	shards, _ := e.route.Map(service, version)
+	picks, _ := e.route.Choose(view, route.Want{Service: service, Version: version, Shards: shards, Tried: tried}, now)
+	if len(picks) == 0 {
+		return pick{}, false
+	}
+	return pick{server: picks[0].Server, version: version}, true
+}
--- /dev/null
+++ b/once/engine.go
@@ -0,0 +1,330 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/query"
+	"hyssophub/route"
+	"hyssophub/shard"
+	"hyssophub/store"
+	"hyssophub/work"
+)
+
+// FleetWrites is the default of Options.Writes. The store takes several
+// hundred writes a second; the rest is left to configuration changes, retries
+// and leases.
+const FleetWrites = 200
+
+// callsPerRequest is the number of store calls of an undisturbed request: one
+// to claim its key and one to record its end.
+const callsPerRequest = 2
+
+// burst is the number of store calls that a host may make at once. It covers a
+// few requests even where a host's share is below one request a second.
+const burst = 8 * callsPerRequest
+
+// settleWait is the longest wait of a caller for the record of a request that
+// has ended.
+const settleWait = 100 * time.Millisecond
+
+// settleCall ends a store call that records the end of a request.
+const settleCall = 2 * time.Second
+
+// submitPause is the wait before a job is offered to a full queue again.
+const submitPause = 10 * time.Millisecond
+
+// Options are the settings of an Engine.
+type Options struct {
+	// Host is the name of this host.
+	Host string
+	// Workers is the number of workers; each makes one call at a time.
+	Workers int
+	// Queue bounds the jobs that wait for a worker, per class.
+	Queue int
+	// Writes is the number of store writes a second that all hosts together
+	// may make for requests.
+	Writes float64
+}
+
+// Ports are what an Engine needs from outside its aggregate.
+type Ports struct {
+	KV        store.KV
+	Codec     Codec
+	Link      query.Link
+	Directory query.Directory
+}
+
+// job is what a worker does. The interface is sealed.
+type job interface{ job() }
+
+type (
+	claimJob    struct{ record *record }
+	dispatchJob struct{ record *record }
+	settleJob   struct{ record *record }
+)
+
+func (claimJob) job()    {}
+func (dispatchJob) job() {}
+func (settleJob) job()   {}
+
+// Engine runs non-idempotent requests on a pool of workers over a Table.
+type Engine struct {
+	config  *config.Table
+	route   *route.Table
+	table   *Table
+	ports   Ports
+	options Options
+	leases  *leases
+	limiter *rate.Limiter
+	pool    *work.Pool[job]
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// active counts the callers that wait, settles the ends being recorded.
+	active  sync.WaitGroup
+	settles sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	stopped  bool
+	revision uint64
+}
+
+// NewEngine starts the workers.
+func NewEngine(configs *config.Table, routes *route.Table, ports Ports, options Options) *Engine {
+	e := &Engine{
+		config:  configs,
+		route:   routes,
+		table:   NewTable(),
+		ports:   ports,
+		options: options,
+		leases:  &leases{kv: ports.KV},
+		limiter: rate.NewLimiter(rate.Limit(options.Writes), burst),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.pool = work.NewPool(options.Workers, options.Queue, e.handle)
+	return e
+}
+
+// InProgress returns the number of requests in progress or not yet recorded.
+func (e *Engine) InProgress() int { return e.table.InProgress() }
+
+// Run runs a request at most once and returns by its deadline. Its errors are
+// *fault.Error; their verdict is about this request, while requests that were
+// sent earlier with the same key keep their own. A caller that goes away does
+// not stop its request.
+func (e *Engine) Run(ctx context.Context, request Request) (Receipt, error) {
+	now := time.Now()
+	if !e.enter() {
+		return Receipt{}, fault.New(fault.NotRun{}, fault.ReasonStopping, "host %s is stopping", e.options.Host)
+	}
+	defer e.active.Done()
+	if err := e.check(request, now); err != nil {
+		return Receipt{}, err
+	}
+	r, first := e.table.enter(newRecord(request, uuid.NewString(), now))
+	if !first {
+		return e.join(ctx, r, request)
+	}
+	if err := e.admit(r, now); err != nil {
+		return Receipt{}, err
+	}
+	timer := time.NewTimer(time.Until(request.Deadline))
+	defer timer.Stop()
+	select {
+	case <-r.done:
+	case <-timer.C:
+		e.follow(r, e.table.expire(r, time.Now()))
+	}
+	time.AfterFunc(time.Until(request.Deadline)+lateFor, func() { e.table.forget(r) })
+	return r.result.receipt, r.result.err
+}
+
+// admit starts a request if the rate of the host, the replicas and the queue
+// allow it. Otherwise the request ends for all callers that joined it.
+func (e *Engine) admit(r *record, now time.Time) error {
+	refusal := e.startable(r.request, now)
+	if refusal == nil {
+		if err := e.pool.Submit(r.request.Class, claimJob{record: r}); err != nil {
+			refusal = fault.New(fault.NotRun{}, fault.ReasonOverload, "host %s: %w", e.options.Host, err)
+			refusal.RetryAfter = time.Second
+		}
+	}
+	if refusal == nil {
+		return nil
+	}
+	e.table.reject(r, refusal, now)
+	return refusal
+}
+
+func (e *Engine) startable(request Request, now time.Time) *fault.Error {
+	view := e.config.View()
+	if _, ok := e.choose(view, request, nil, now); !ok {
+		refusal := fault.New(fault.NotRun{}, fault.ReasonNoReplica, "no replica of service %s is usable", request.Service)
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	e.share(view)
+	if !e.limiter.AllowN(now, callsPerRequest) {
+		refusal := fault.New(fault.NotRun{}, fault.ReasonOverload, "host %s has used its share of the store's rate", e.options.Host)
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	return nil
+}
+
+// share sets this host's part of the fleet's write rate when the configuration
+// has changed.
+func (e *Engine) share(view *config.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.revision == view.Value.Revision {
+		return
+	}
+	e.revision = view.Value.Revision
+	hosts := 0
+	for _, z := range view.Value.Manifest.Zones {
+		hosts += z.Hosts
+	}
+	e.limiter.SetLimit(rate.Limit(e.options.Writes / float64(max(1, hosts))))
+}
+
+// join waits for the result of the same request that is in progress here.
+func (e *Engine) join(ctx context.Context, r *record, request Request) (Receipt, error) {
+	if r.digest != digest(request) {
+		return Receipt{}, fault.New(fault.NotRun{}, fault.ReasonConflict, "key %q was used with another service or text", request.Key)
+	}
+	timer := time.NewTimer(time.Until(request.Deadline))
+	defer timer.Stop()
+	select {
+	case <-r.done:
+		receipt := r.result.receipt
+		receipt.Request, receipt.Repeat = request.ID, true
+		return receipt, r.result.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return Receipt{}, fault.New(fault.MayHaveRun{}, fault.ReasonDuplicate, "a request with key %q is in progress", request.Key)
+}
+
+// check validates a request.
+func (e *Engine) check(request Request, now time.Time) error {
+	view := e.config.View()
+	if !request.Deadline.After(now) {
+		return fault.New(fault.NotRun{}, fault.ReasonDeadline, "deadline is past")
+	}
+	if !ValidKey(request.Key) {
+		return fault.New(fault.NotRun{}, fault.ReasonBadRequest, "key %q is not 1 to %d letters, digits or characters of ._:-", request.Key, MaxKey)
+	}
+	if _, ok := view.Tenant(request.Tenant); !ok {
+		return fault.New(fault.NotRun{}, fault.ReasonUnknown, "unknown tenant %q", request.Tenant)
+	}
+	if service, ok := view.Service(request.Service); !ok || service.Tenant != request.Tenant {
+		return fault.New(fault.NotRun{}, fault.ReasonUnknown, "tenant %q has no service %q", request.Tenant, request.Service)
+	}
+	return nil
+}
+
+// Deliver takes results that arrive after their batch was answered, and
+// returns those that belong to no request of this engine.
+func (e *Engine) Deliver(results []shard.Result) []shard.Result {
+	var rest []shard.Result
+	for _, result := range results {
+		if !e.take(result) {
+			rest = append(rest, result)
+		}
+	}
+	return rest
+}
+
+// Close refuses new requests, waits for those in progress and for their
+// records, then stops the workers.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.active.Wait()
+	e.mu.Lock()
+	e.stopped = true
+	e.mu.Unlock()
+	e.settles.Wait()
+	e.pool.Close()
+	e.cancel()
+}
+
+func (e *Engine) enter() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return false
+	}
+	e.active.Add(1)
+	return true
+}
+
+func (e *Engine) closing() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.closed
+}
+
+// hold keeps Close waiting until the end of a request is recorded.
+func (e *Engine) hold() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return false
+	}
+	e.settles.Add(1)
+	return true
+}
+
+func (e *Engine) handle(j job) {
+	switch j := j.(type) {
+	case claimJob:
+		e.claim(j.record)
+	case dispatchJob:
+		e.dispatch(j.record)
+	case settleJob:
+		e.settle(j.record)
+	}
+}
+
+// submit queues a follow-up job after a pause. A full queue delays it; the
+// checks of each job end a request whose deadline passes meanwhile.
+func (e *Engine) submit(class shard.Class, j job, pause time.Duration) {
+	if pause > 0 {
+		time.AfterFunc(pause, func() { e.submit(class, j, 0) })
+		return
+	}
+	if errors.Is(e.pool.Submit(class, j), work.ErrFull) {
+		time.AfterFunc(submitPause, func() { e.submit(class, j, 0) })
+	}
+}
+
+// follow carries out a step of the table.
+func (e *Engine) follow(r *record, step next) {
+	switch s := step.(type) {
+	case claimNext:
+		e.submit(r.request.Class, claimJob{record: r}, s.pause)
+	case dispatchNext:
+		e.submit(r.request.Class, dispatchJob{record: r}, s.pause)
+	case settleNext:
+		if !e.hold() {
+			e.table.answer(r, time.Now())
+			return
+		}
+		e.submit(r.request.Class, settleJob{record: r}, s.pause)
+		time.AfterFunc(settleWait, func() { e.table.answer(r, time.Now()) })
+	case nothing:
+		e.table.answer(r, time.Now())
+	}
+}
--- /dev/null
+++ b/once/request.go
@@ -0,0 +1,73 @@
+// Package once is the aggregate of non-idempotent requests. A request key is
+// claimed in the platform's store before the request is dispatched, so that
+// the request runs at most once, whichever hosts its repeats reach.
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"hyssophub/shard"
+)
+
+// MaxKey is the largest length of a request key, in bytes.
+const MaxKey = 128
+
+// keyPrefix is the part of the store's key space that holds request keys.
+const keyPrefix = "once/"
+
+// Request is a caller's non-idempotent request.
+type Request struct {
+	ID      string
+	Tenant  string
+	Service string
+	// Key identifies the request through all its repeats.
+	Key      string
+	Text     string
+	Class    shard.Class
+	Deadline time.Time
+}
+
+// Receipt is the result of a request that ran.
+type Receipt struct {
+	Request string
+	// Receipt is the backend server's record of the run.
+	Receipt string
+	// Repeat is true if the run belongs to an earlier request with the key.
+	Repeat bool
+	Took   time.Duration
+	// Calls counts the store calls of the request up to its answer, and Subs
+	// its sub-requests.
+	Calls int
+	Subs  int
+}
+
+// ValidKey reports whether a request key has 1 to MaxKey letters, digits or
+// characters out of "._:-". Others would need escaping in the store's paths.
+func ValidKey(key string) bool {
+	if key == "" || len(key) > MaxKey || key == "." || key == ".." {
+		return false
+	}
+	return strings.IndexFunc(key, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("._:-", r)
+	}) < 0
+}
+
+// storeKey returns the key of a request in the store.
+func storeKey(r Request) string { return keyPrefix + r.Tenant + "/" + r.Key }
+
+// digest identifies what a request asks for. Deadline and class may differ
+// between repeats.
+func digest(r Request) string {
+	hash := sha256.New()
+	for _, field := range []string{r.Service, r.Text} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = hash.Write(size[:])
+		_, _ = hash.Write([]byte(field))
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
--- /dev/null
+++ b/once/state.go
@@ -0,0 +1,129 @@
+package once
+
+import "hyssophub/fault"
+
+// Stored is the value of a request key in the store.
+type Stored struct {
+	// Digest identifies the body that the key was first used with.
+	Digest string
+	State  State
+}
+
+// State is the state of a request key. The interface is sealed. A key without
+// an entry in the store was never used or has expired.
+type State interface {
+	state()
+	// claim returns the id of the claim that wrote the state.
+	claim() string
+}
+
+type (
+	// Claimed means that a host may have dispatched the request.
+	Claimed struct {
+		Claim string
+		Host  string
+	}
+	// Done means that the request ran, with the backend server's receipt.
+	Done struct {
+		Claim   string
+		Receipt string
+	}
+	// Released means that the request of the claim is proven not to have run,
+	// so that a repeat may run.
+	Released struct {
+		Claim string
+	}
+)
+
+func (Claimed) state()  {}
+func (Done) state()     {}
+func (Released) state() {}
+
+func (s Claimed) claim() string  { return s.Claim }
+func (s Done) claim() string     { return s.Claim }
+func (s Released) claim() string { return s.Claim }
+
+// Found is what the store holds for a key. Revision 0 means nothing, and a nil
+// Stored at another revision means a value that this host cannot read.
+type Found struct {
+	Revision uint64
+	Stored   *Stored
+}
+
+// Decision says what a found record means for a request that wants to claim
+// the key. The interface is sealed.
+type Decision interface{ decision() }
+
+type (
+	// Take means that the key may be claimed by a swap at Revision.
+	Take struct{ Revision uint64 }
+	// Own means that the claim of the request itself is in force at Revision.
+	Own struct{ Revision uint64 }
+	// End means that the request does not run here. Receipt is set with
+	// verdict Ran.
+	End struct {
+		Verdict fault.Verdict
+		Reason  fault.Reason
+		Receipt string
+	}
+)
+
+func (Take) decision() {}
+func (Own) decision()  {}
+func (End) decision()  {}
+
+// Judge decides on a claim. A repeat with another body is refused in every
+// state; a record that cannot be read is treated as claimed.
+func Judge(found Found, claim, digest string) Decision {
+	if found.Revision == 0 {
+		return Take{}
+	}
+	if found.Stored == nil {
+		return End{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDuplicate}
+	}
+	if found.Stored.Digest != digest {
+		return End{Verdict: fault.NotRun{}, Reason: fault.ReasonConflict}
+	}
+	switch s := found.Stored.State.(type) {
+	case Released:
+		return Take{Revision: found.Revision}
+	case Done:
+		return End{Verdict: fault.Ran{}, Receipt: s.Receipt}
+	case Claimed:
+		if s.Claim == claim {
+			return Own{Revision: found.Revision}
+		}
+	}
+	return End{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDuplicate}
+}
+
+// Settlement says how to record the end of a claim. The interface is sealed.
+type Settlement interface{ settlement() }
+
+type (
+	// Write means that the final state is still to be written by a swap at
+	// Revision.
+	Write struct{ Revision uint64 }
+	// Settled means that nothing is left to write.
+	Settled struct{}
+)
+
+func (Write) settlement()   {}
+func (Settled) settlement() {}
+
+// Settle decides how a claim that has ended is recorded over what the store
+// holds. An absent key is written as well: a claim whose answer was lost could
+// otherwise still arrive and block the key. A key that another claim holds is
+// left alone.
+func Settle(found Found, claim string) Settlement {
+	if found.Revision == 0 {
+		return Write{}
+	}
+	if found.Stored == nil {
+		return Settled{}
+	}
+	if s, ok := found.Stored.State.(Claimed); ok && s.Claim == claim {
+		return Write{Revision: found.Revision}
+	}
+	return Settled{}
+}
--- /dev/null
+++ b/once/state_test.go
@@ -0,0 +1,44 @@
+package once
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against a repeat that runs over a claim, and against a final state
+// that overwrites the claim of another request.
+func TestTransitions(t *testing.T) {
+	datadriven.RunTest(t, "testdata/transitions", func(t *testing.T, d *datadriven.TestData) string {
+		var revision, state, digest, by string
+		d.ScanArgs(t, "revision", &revision)
+		d.MaybeScanArgs(t, "state", &state)
+		d.MaybeScanArgs(t, "digest", &digest)
+		d.MaybeScanArgs(t, "by", &by)
+		found := Found{Stored: storedOf(state, digest, by)}
+		found.Revision, _ = strconv.ParseUint(revision, 10, 64)
+		if d.Cmd == "settle" {
+			return fmt.Sprintf("%T %+v\n", Settle(found, "me"), Settle(found, "me"))
+		}
+		decision := Judge(found, "me", "body")
+		if end, ok := decision.(End); ok {
+			return fmt.Sprintf("once.End verdict=%s reason=%s receipt=%s\n", end.Verdict, end.Reason, end.Receipt)
+		}
+		return fmt.Sprintf("%T %+v\n", decision, decision)
+	})
+}
+
+func storedOf(state, digest, by string) *Stored {
+	switch state {
+	case "claimed":
+		return &Stored{Digest: digest, State: Claimed{Claim: by}}
+	case "done":
+		return &Stored{Digest: digest, State: Done{Claim: by, Receipt: "paid"}}
+	case "released":
+		return &Stored{Digest: digest, State: Released{Claim: by}}
+	default:
+		return nil
+	}
+}
