Count platform calls by kind and let the stand-in fail in more ways

Cause: operators could not see how much of the platform's rate a host uses, and tests had no watch limit and no lagging host list. The host list and oversized answers gave errors of no defined kind. The stand-in loses answers of lease calls too, limits watches and delays its host list. Conclusion: a lost answer cannot be mistaken for a refusal.

--- a/fakes/store.go
+++ b/fakes/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -28,9 +27,13 @@
 	revision uint64
 	changed  chan struct{}
 	leases   map[uint64]lease
-	hosts    []Host
+	hosts    []listing
 	fault    StoreFault
 	calls    map[string]int
+	// writes counts the writes that took effect.
+	writes int
+	// watches counts the waiting watches.
+	watches int
 }
 
 type entry struct {
@@ -44,16 +47,6 @@
 	expires time.Time
 }
 
-// Host is an entry of the host list.
-type Host struct {
-	Name  string `json:"name"`
-	Kind  string `json:"kind"`
-	Zone  string `json:"zone"`
-	State string `json:"state"`
-	Peer  string `json:"peer,omitempty"`
-	Beat  string `json:"beat,omitempty"`
-}
-
 // StoreFault makes the store fail.
 type StoreFault struct {
 	// Down refuses every call.
@@ -61,8 +54,13 @@
 	// Slow delays every call.
 	Slow time.Duration
 	// LoseEvery cuts the connection after each n-th write took effect; zero
-	// loses none.
+	// loses none. Writes are swaps, grants and renewals.
 	LoseEvery int
+	// Watches is the largest number of waiting watches; further ones are
+	// refused. Zero sets no limit.
+	Watches int
+	// HostLag is the age of the host list that callers get.
+	HostLag time.Duration
 }
 
 // NewStore starts a store. An empty address takes a free port on loopback.
@@ -103,13 +101,6 @@
 	s.fault = fault
 }
 
-// SetHosts replaces the host list.
-func (s *Store) SetHosts(hosts []Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hosts = hosts
-}
-
 // Calls returns the number of calls by kind: get, put, watch, lease, hosts.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -154,11 +145,33 @@
 		return
 	}
 	s.count("watch")
+	if !s.beginWatch() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.endWatch()
 	revision, _ := strconv.ParseUint(after, 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
 	respond(w, http.StatusOK, s.await(r.Context(), key, revision, time.Duration(wait)*time.Millisecond))
 }
 
+// beginWatch reports whether one more watch may wait.
+func (s *Store) beginWatch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault.Watches > 0 && s.watches >= s.fault.Watches {
+		return false
+	}
+	s.watches++
+	return true
+}
+
+func (s *Store) endWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches--
+}
+
 // await returns the entry once its revision is above after, or when wait ends.
 func (s *Store) await(ctx context.Context, key string, after uint64, wait time.Duration) entry {
 	timer := time.NewTimer(wait)
@@ -216,8 +229,13 @@
 	s.entries[key] = e
 	close(s.changed)
 	s.changed = make(chan struct{})
-	lost := s.fault.LoseEvery > 0 && int(s.revision)%s.fault.LoseEvery == 0
-	return entry{revision: e.revision}, http.StatusOK, lost
+	return entry{revision: e.revision}, http.StatusOK, s.lose()
+}
+
+// lose counts a write that took effect and reports whether its answer is lost.
+func (s *Store) lose() bool {
+	s.writes++
+	return s.fault.LoseEvery > 0 && s.writes%s.fault.LoseEvery == 0
 }
 
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
@@ -228,32 +246,35 @@
 	s.revision++
 	id := s.revision
 	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	lost := s.lose()
 	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Lease", strconv.FormatUint(id, 10))
 }
 
 func (s *Store) renew(w http.ResponseWriter, r *http.Request) {
 	s.count("lease")
 	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	status, lost := s.extend(id)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+func (s *Store) extend(id uint64) (status int, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	l, ok := s.leases[id]
 	if !ok {
-		w.WriteHeader(http.StatusGone)
-		return
+		return http.StatusGone, false
 	}
 	l.expires = time.Now().Add(l.ttl)
 	s.leases[id] = l
-}
-
-func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
-	s.count("hosts")
-	s.mu.Lock()
-	hosts := append([]Host{}, s.hosts...)
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(hosts)
+	return http.StatusOK, s.lose()
 }
 
 // expire drops lapsed leases with their keys.
--- a/kvhttp/client.go
+++ b/kvhttp/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -14,9 +13,9 @@
 	"syscall"
 	"time"
 
-	"hyssophub/store"
-
 	"github.com/samber/oops"
+
+	"hyssophub/store"
 )
 
 // Headers of the platform's HTTP interface.
@@ -34,9 +33,10 @@
 
 // Client implements store.KV and store.Hosts over HTTP.
 type Client struct {
-	base string
-	http *http.Client
-	wait time.Duration
+	base   string
+	http   *http.Client
+	wait   time.Duration
+	counts counts
 }
 
 // NewClient returns a client for the platform at an IP address and port.
@@ -53,7 +53,7 @@
 
 // Get implements store.KV.
 func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
-	return c.entry(ctx, http.MethodGet, key, "", nil, nil)
+	return c.entry(ctx, KindGet, http.MethodGet, key, "", nil, nil)
 }
 
 // Swap implements store.KV.
@@ -65,18 +65,18 @@
 	if lease != 0 {
 		header.Set(headerLease, strconv.FormatUint(uint64(lease), 10))
 	}
-	return c.entry(ctx, http.MethodPut, key, "", header, value)
+	return c.entry(ctx, KindSwap, http.MethodPut, key, "", header, value)
 }
 
 // Watch implements store.KV.
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {strconv.FormatInt(c.wait.Milliseconds(), 10)}}
-	return c.entry(ctx, http.MethodGet, key, "?"+query.Encode(), nil, nil)
+	return c.entry(ctx, KindWatch, http.MethodGet, key, "?"+query.Encode(), nil, nil)
 }
 
 // Grant implements store.KV.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	r, err := c.call(ctx, http.MethodPost, "/lease?ttl="+strconv.FormatInt(ttl.Milliseconds(), 10), nil, nil)
+	r, err := c.call(ctx, KindGrant, http.MethodPost, "/lease?ttl="+strconv.FormatInt(ttl.Milliseconds(), 10), nil, nil)
 	if err != nil {
 		return 0, err
 	}
@@ -89,41 +89,17 @@
 
 // Renew implements store.KV.
 func (c *Client) Renew(ctx context.Context, lease store.LeaseID) error {
-	_, err := c.call(ctx, http.MethodPut, "/lease/"+strconv.FormatUint(uint64(lease), 10), nil, nil)
+	_, err := c.call(ctx, KindRenew, http.MethodPut, "/lease/"+strconv.FormatUint(uint64(lease), 10), nil, nil)
 	return err
 }
 
 // List implements store.Hosts.
 func (c *Client) List(ctx context.Context) ([]store.HostInfo, error) {
-	r, err := c.call(ctx, http.MethodGet, "/hosts", nil, nil)
+	r, err := c.call(ctx, KindHosts, http.MethodGet, "/hosts", nil, nil)
 	if err != nil {
 		return nil, err
 	}
-	var list []wireHost
-	if err := json.Unmarshal(r.body, &list); err != nil {
-		return nil, oops.Wrapf(err, "host list")
-	}
-	hosts := make([]store.HostInfo, 0, len(list))
-	for _, h := range list {
-		hosts = append(hosts, store.HostInfo{
-			Name:  h.Name,
-			Kind:  store.HostKind(h.Kind),
-			Zone:  h.Zone,
-			State: store.HostState(h.State),
-			Peer:  h.Peer,
-			Beat:  h.Beat,
-		})
-	}
-	return hosts, nil
-}
-
-type wireHost struct {
-	Name  string `json:"name"`
-	Kind  string `json:"kind"`
-	Zone  string `json:"zone"`
-	State string `json:"state"`
-	Peer  string `json:"peer,omitempty"`
-	Beat  string `json:"beat,omitempty"`
+	return decodeHosts(r.body)
 }
 
 type reply struct {
@@ -132,23 +108,25 @@
 	body   []byte
 }
 
-func (c *Client) entry(ctx context.Context, method, key, query string, header http.Header, value []byte) (store.Entry, error) {
-	r, err := c.call(ctx, method, "/kv/"+key+query, header, value)
+func (c *Client) entry(ctx context.Context, kind Kind, method, key, query string, header http.Header, value []byte) (store.Entry, error) {
+	r, err := c.call(ctx, kind, method, "/kv/"+escape(key)+query, header, value)
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		return store.Entry{}, err
 	}
-	revision, parseErr := strconv.ParseUint(r.header.Get(headerRevision), 10, 64)
+	entry, parseErr := decodeEntry(key, r)
 	if parseErr != nil {
-		return store.Entry{}, store.ErrUnknown
+		return store.Entry{}, parseErr
 	}
-	entry := store.Entry{Key: key, Revision: revision, Value: r.body}
-	if method == http.MethodPut && err == nil {
+	if kind == KindSwap && err == nil {
 		entry.Value = value
 	}
 	return entry, err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (reply, error) {
+// escape makes a key safe in a path and keeps its slashes.
+func escape(key string) string { return (&url.URL{Path: key}).EscapedPath() }
+
+func (c *Client) call(ctx context.Context, kind Kind, method, path string, header http.Header, body []byte) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -158,6 +136,7 @@
 	for k, v := range header {
 		request.Header[k] = v
 	}
+	defer c.counts.begin(kind)()
 	response, err := c.http.Do(request)
 	if err != nil {
 		return reply{}, callError(err)
@@ -167,6 +146,9 @@
 	if err != nil {
 		return reply{}, errors.Join(store.ErrUnknown, err)
 	}
+	if len(content) > store.MaxValue {
+		return reply{}, errors.Join(store.ErrUnknown, errors.New("kvhttp: answer exceeds one megabyte"))
+	}
 	r := reply{status: response.StatusCode, header: response.Header, body: content}
 	return r, statusError(r.status)
 }
@@ -178,6 +160,8 @@
 	return errors.Join(store.ErrUnknown, err)
 }
 
+// statusError converts a status. A status that the service does not define,
+// such as one of a proxy in between, says nothing about the call's effect.
 func statusError(status int) error {
 	switch status {
 	case http.StatusOK:
--- /dev/null
+++ b/kvhttp/wire.go
@@ -0,0 +1,49 @@
+package kvhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+
+	"hyssophub/store"
+)
+
+type wireHost struct {
+	Name  string `json:"name"`
+	Kind  string `json:"kind"`
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+	Peer  string `json:"peer,omitempty"`
+	Beat  string `json:"beat,omitempty"`
+}
+
+// decodeHosts reads the host list. A list that cannot be read is an answer
+// that was lost.
+func decodeHosts(body []byte) ([]store.HostInfo, error) {
+	var list []wireHost
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, errors.Join(store.ErrUnknown, err)
+	}
+	hosts := make([]store.HostInfo, 0, len(list))
+	for _, h := range list {
+		hosts = append(hosts, store.HostInfo{
+			Name:  h.Name,
+			Kind:  store.HostKind(h.Kind),
+			Zone:  h.Zone,
+			State: store.HostState(h.State),
+			Peer:  h.Peer,
+			Beat:  h.Beat,
+		})
+	}
+	return hosts, nil
+}
+
+// decodeEntry reads a key's entry. An answer without a revision proves
+// nothing, so it counts as lost.
+func decodeEntry(key string, r reply) (store.Entry, error) {
+	revision, err := strconv.ParseUint(r.header.Get(headerRevision), 10, 64)
+	if err != nil {
+		return store.Entry{}, errors.Join(store.ErrUnknown, err)
+	}
+	return store.Entry{Key: key, Revision: revision, Value: r.body}, nil
+}
