Serve non-idempotent requests to callers and measure them

Change: POST /v1/run beside /v1/query, with entry split by concern. The host builds the once engine, offers it late results first, and gives the metrics its figures through stats.Sources. Metric names follow the OpenTelemetry rules; the two sub-request counters are now hyssophub.subrequest.sent and .extra, and hyssophub.query.refused became hyssophub.request.verdicts.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -12,6 +12,7 @@
 	"hyssophub/fault"
 	"hyssophub/logs"
 	"hyssophub/member"
+	"hyssophub/once"
 	"hyssophub/owner"
 	"hyssophub/query"
 	"hyssophub/route"
@@ -52,6 +53,7 @@
 	owned   *owner.Table
 	owners  *owner.Engine
 	queries *query.Engine
+	onces   *once.Engine
 	bus     *event.Bus
 
 	control *work.Pool[controlJob]
@@ -81,6 +83,7 @@
 		Workers: queryWorkers,
 		Queue:   queryQueue,
 	})
+	c.onces = c.newOnce()
 	c.control = work.NewPool(controlWorkers, controlQueue, c.handle)
 	return c
 }
@@ -105,6 +108,7 @@
 // Close refuses new work, lets requests in progress finish and waits.
 func (c *Core) Close() error {
 	c.queries.Close()
+	c.onces.Close()
 	c.owners.Close()
 	c.cancel()
 	c.control.Close()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 
@@ -54,7 +55,7 @@
 		Ports{KV: d.platform, Hosts: d.platform, Peers: d.peers, Backend: d.backends},
 		log,
 	)
-	if err := d.listen(log); err != nil {
+	if err := errors.Join(d.stats.Observe(sources{core: d.core, platform: d.platform}), d.listen(log)); err != nil {
 		_ = d.Close()
 		return nil, err
 	}
@@ -91,7 +92,7 @@
 }
 
 func (d *Daemon) listen(log *logs.Logs) error {
-	callers := entry.NewHandler(d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load)
+	callers := entry.NewHandler(d.core, d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -27,7 +27,7 @@
 // Deliver implements owner.Courier.
 func (c courier) Deliver(ctx context.Context, host string, results []shard.Result) error {
 	if host == c.core.self.Name {
-		c.core.queries.Deliver(results)
+		c.core.deliver(results)
 		return nil
 	}
 	return c.core.ports.Peers.Deliver(ctx, host, results)
@@ -55,7 +55,7 @@
 }
 
 // Deliver implements peer.Handler.
-func (h handler) Deliver(results []shard.Result) { h.core.queries.Deliver(results) }
+func (h handler) Deliver(results []shard.Result) { h.core.deliver(results) }
 
 // Fetch implements peer.Handler.
 func (h handler) Fetch(revision uint64) ([]byte, uint64) {
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/once"
+	"hyssophub/stats"
+)
+
+// defaultRunTimeout applies to non-idempotent requests that name none. It
+// leaves time for the store calls and a retry on another replica.
+const defaultRunTimeout = 2 * time.Second
+
+type wireRun struct {
+	Tenant  string `json:"tenant"`
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	Text    string `json:"text"`
+	Class   string `json:"class"`
+	// Timeout is in milliseconds.
+	Timeout *int64 `json:"timeout"`
+}
+
+type wireReceipt struct {
+	Request string `json:"request"`
+	Verdict string `json:"verdict"`
+	Receipt string `json:"receipt"`
+	// Repeat is true if an earlier request with the key ran.
+	Repeat bool `json:"repeat"`
+	// Took is in milliseconds.
+	Took float64 `json:"took"`
+}
+
+func (h *Handler) run(w http.ResponseWriter, r *http.Request) {
+	request := once.Request{ID: requestID(r)}
+	body, err := readBody(r)
+	if err == nil {
+		request, err = decodeRun(body, request, h.config.View(), time.Now())
+	}
+	labels := h.labels(stats.OperationRun, request.Tenant, request.Class)
+	if err != nil {
+		h.refuse(w, request.ID, labels, err, nil)
+		return
+	}
+	receipt, err := h.writer.Once(r.Context(), request)
+	if err != nil {
+		h.refuse(w, request.ID, labels, err, nil)
+		return
+	}
+	h.stats.Run(labels, stats.Run{Took: receipt.Took, Calls: receipt.Calls, Repeat: receipt.Repeat})
+	h.log.Debug().Str("request", request.ID).Str("tenant", request.Tenant).Str("key", request.Key).
+		Bool("repeat", receipt.Repeat).Int("calls", receipt.Calls).Dur("took", receipt.Took).Msg("request ran")
+	writeJSON(w, http.StatusOK, wireReceipt{
+		Request: receipt.Request,
+		Verdict: fault.Ran{}.String(),
+		Receipt: receipt.Receipt,
+		Repeat:  receipt.Repeat,
+		Took:    milliseconds(receipt.Took),
+	})
+}
+
+// decodeRun reads a non-idempotent request. All its errors mean that nothing
+// ran.
+func decodeRun(body []byte, request once.Request, view *config.View, now time.Time) (once.Request, error) {
+	var wire wireRun
+	if err := decodeStrict(body, &wire); err != nil {
+		return request, err
+	}
+	request.Tenant, request.Service, request.Key, request.Text = wire.Tenant, wire.Service, wire.Key, wire.Text
+	var err error
+	if request.Class, err = decodeClass(wire.Class, wire.Tenant, view); err != nil {
+		return request, err
+	}
+	if !once.ValidKey(wire.Key) {
+		return request, badField("key", strconv.Quote(wire.Key), "1 to "+strconv.Itoa(once.MaxKey)+" letters, digits or characters of ._:-")
+	}
+	timeout, err := decodeTimeout(wire.Timeout, defaultRunTimeout)
+	if err != nil {
+		return request, err
+	}
+	request.Deadline = now.Add(timeout)
+	return request, nil
+}
--- /dev/null
+++ b/stats/record.go
@@ -0,0 +1,118 @@
+package stats
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Operation is what a caller asked for.
+type Operation string
+
+// Operations of the callers' interface.
+const (
+	OperationQuery Operation = "query"
+	OperationRun   Operation = "run"
+)
+
+// Labels are the bounded labels of a request. Callers of this package replace
+// tenants that the configuration does not know by one name.
+type Labels struct {
+	Operation Operation
+	Tenant    string
+	Class     string
+}
+
+// Query holds the figures of an answered query.
+type Query struct {
+	Took     time.Duration
+	Coverage float64
+	Subs     int
+	Extra    int
+}
+
+// Run holds the figures of a non-idempotent request that ran. Calls counts its
+// store calls.
+type Run struct {
+	Took   time.Duration
+	Calls  int
+	Repeat bool
+}
+
+// verdictRan is the verdict of answered requests.
+const verdictRan = "ran"
+
+func (l Labels) tenantClass() attribute.Set {
+	return attribute.NewSet(attribute.String("tenant", l.Tenant), attribute.String("class", l.Class))
+}
+
+// Query records an answered query.
+func (s *Stats) Query(labels Labels, q Query) {
+	ctx := context.Background()
+	set := metric.WithAttributeSet(labels.tenantClass())
+	s.duration.Record(ctx, q.Took.Seconds(), set)
+	s.coverage.Record(ctx, q.Coverage, set)
+	s.subs.Add(ctx, int64(q.Subs), set)
+	s.extra.Add(ctx, int64(q.Extra), set)
+	s.answered(labels, q.Took)
+}
+
+// Run records a non-idempotent request that ran.
+func (s *Stats) Run(labels Labels, r Run) {
+	ctx := context.Background()
+	set := metric.WithAttributes(attribute.String("tenant", labels.Tenant), attribute.String("class", labels.Class),
+		attribute.Bool("repeat", r.Repeat))
+	s.runs.Record(ctx, r.Took.Seconds(), set)
+	s.calls.Record(ctx, int64(r.Calls), set)
+	s.answered(labels, r.Took)
+}
+
+func (s *Stats) answered(labels Labels, took time.Duration) {
+	s.verdict(labels, verdictRan, "")
+	if s.changing(time.Now()) {
+		s.change.Record(context.Background(), took.Seconds(), metric.WithAttributeSet(labels.tenantClass()))
+	}
+}
+
+// Refused records a request that was answered with an error.
+func (s *Stats) Refused(labels Labels, verdict, reason string) {
+	s.verdict(labels, verdict, reason)
+	if s.changing(time.Now()) {
+		s.changeLost.Add(context.Background(), 1, metric.WithAttributes(attribute.String("tenant", labels.Tenant),
+			attribute.String("class", labels.Class), attribute.String("verdict", verdict)))
+	}
+}
+
+func (s *Stats) verdict(labels Labels, verdict, reason string) {
+	s.verdicts.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("operation", string(labels.Operation)),
+		attribute.String("tenant", labels.Tenant),
+		attribute.String("class", labels.Class),
+		attribute.String("verdict", verdict),
+		attribute.String("reason", reason),
+	))
+}
+
+// Zones takes over which availability zones are out at a configuration
+// revision. The first revision that a host learns is no change.
+func (s *Stats) Zones(revision uint64, out []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.revision {
+		return
+	}
+	if s.revision > 0 && !slices.Equal(s.out, out) {
+		s.changed = now
+	}
+	s.revision, s.out = revision, out
+}
+
+// changing reports whether the zones in service changed a short time ago.
+func (s *Stats) changing(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.changed.IsZero() && now.Sub(s.changed) < zoneWindow
+}
--- /dev/null
+++ b/stats/stats_test.go
@@ -0,0 +1,59 @@
+package stats
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type fixed struct{}
+
+func (fixed) StoreCalls() []StoreCalls { return []StoreCalls{{Kind: "watch", Total: 9, Pending: 1}} }
+
+func (fixed) Services() []Service {
+	return []Service{{Tenant: "fees", Name: "invoicing", Servers: 2, Queued: 3, Used: 4, Free: 5}}
+}
+
+func (fixed) Host() Host { return Host{Revision: 8, Runs: 6, Zones: map[string]bool{"a": true}} }
+
+// Guards against figures that never reach the operators' page, and against
+// requests during a change of zones that count as ordinary ones.
+func TestMetricsAreExposed(t *testing.T) {
+	s, err := New()
+	require.NoError(t, err)
+	require.NoError(t, s.Observe(fixed{}))
+	labels := Labels{Operation: OperationRun, Tenant: "fees", Class: "urgent"}
+	now := time.Now()
+	s.Zones(1, nil, now)
+	s.Refused(labels, "not_run", "overload")
+	s.Zones(2, []string{"a"}, now)
+	s.Refused(labels, "not_run", "overload")
+	s.Run(labels, Run{Took: 30 * time.Millisecond, Calls: 2})
+	s.Query(Labels{Operation: OperationQuery, Tenant: "fees", Class: "urgent"}, Query{Took: time.Millisecond, Coverage: 1, Subs: 10, Extra: 1})
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`hyssophub_query_duration_seconds_count{class="urgent",.*tenant="fees"} 1`,
+		`hyssophub_query_coverage_count{.*} 1`,
+		`hyssophub_subrequest_sent_total{.*} 10`,
+		`hyssophub_subrequest_extra_total{.*} 1`,
+		`hyssophub_run_duration_seconds_count{.*repeat="false",tenant="fees"} 1`,
+		`hyssophub_run_store_calls_sum{.*} 2`,
+		`hyssophub_request_verdicts_total{.*reason="overload",tenant="fees",verdict="not_run"} 2`,
+		`hyssophub_zone_change_duration_seconds_count{.*} 2`,
+		`hyssophub_zone_change_refused_total{.*} 1`,
+		`hyssophub_store_calls_total{kind="watch".*} 9`,
+		`hyssophub_store_active_calls{kind="watch".*} 1`,
+		`hyssophub_owner_queue{.*service="invoicing".*} 3`,
+		`hyssophub_owner_slots_used{.*} 4`,
+		`hyssophub_zone_out{.*zone="a"} 1`,
+		`hyssophub_config_revision{.*} 8`,
+		`hyssophub_run_active_requests{.*} 6`,
+	} {
+		require.Regexp(t, line, w.Body.String())
+	}
+	require.NoError(t, s.Close())
+}
