Test the lease of request keys, crossed results and the record's JSON

Cause: the schedules had no lapsed lease, no refused owner connection and no result of another request. Change: the fates lapsed and crossed, a test of the shared lease and a round trip of the stored record. Conclusion: a lapsed lease costs one more grant and no request.

--- /dev/null
+++ b/codec/once_test.go
@@ -0,0 +1,30 @@
+package codec
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/once"
+)
+
+// Guards against a state that another host reads as a different one, and
+// against records of a newer version that are read without their new meaning.
+func TestOnceRoundTrip(t *testing.T) {
+	for _, state := range []once.State{
+		once.Claimed{Claim: "c1", Host: "entry-a"},
+		once.Done{Claim: "c1", Receipt: "paid"},
+		once.Released{Claim: "c1"},
+	} {
+		stored := once.Stored{Digest: "d", State: state}
+		data, err := Once{}.Encode(stored)
+		require.NoError(t, err)
+		decoded, err := Once{}.Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, stored, decoded)
+	}
+	for _, text := range []string{`{"digest":"d","state":"paused"}`, `{"state":"done","fee":1}`, `{"state":`} {
+		_, err := Once{}.Decode([]byte(text))
+		require.Error(t, err, text)
+	}
+}
--- a/once/fakes_test.go
+++ b/once/fakes_test.go
@@ -27,6 +27,10 @@
 	delayed
 	// slow answers late but within the caller's patience.
 	slow
+	// lapsed means that the lease is gone, or that the owner is down.
+	lapsed
+	// crossed answers with the result of another request.
+	crossed
 	fates
 )
 
@@ -73,6 +77,7 @@
 	mu       sync.Mutex
 	entries  map[string]store.Entry
 	revision uint64
+	grants   uint64
 }
 
 func (m *memory) swap(key string, revision uint64, value []byte) (store.Entry, error) {
@@ -93,7 +98,12 @@
 	plan   *plan
 }
 
-func (k kv) Grant(context.Context, time.Duration) (store.LeaseID, error) { return 1, nil }
+func (k kv) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	k.memory.mu.Lock()
+	defer k.memory.mu.Unlock()
+	k.memory.grants++
+	return store.LeaseID(k.memory.grants), nil
+}
 
 func (k kv) Get(ctx context.Context, key string) (store.Entry, error) {
 	switch k.plan.next() {
@@ -117,6 +127,8 @@
 	case lostBefore:
 		time.Sleep(slowness)
 		return store.Entry{}, store.ErrUnknown
+	case lapsed:
+		return store.Entry{}, store.ErrLease
 	case lostAfter:
 		_, _ = k.memory.swap(key, revision, value)
 		return store.Entry{}, store.ErrUnknown
@@ -164,6 +176,12 @@
 	case refused:
 		result.Outcome = shard.Refused{Reason: fault.ReasonShed}
 		return []shard.Result{result}, nil
+	case lapsed:
+		return nil, fault.New(fault.NotRun{}, fault.ReasonDown, "connection refused")
+	case crossed:
+		l.fleet.run(sub)
+		result.Server, result.Outcome = "fee-9", shard.Refused{Reason: fault.ReasonShed}
+		return []shard.Result{result}, nil
 	case lostBefore:
 		return nil, fault.New(fault.MayHaveRun{}, fault.ReasonConnection, "connection lost")
 	case lostAfter:
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -248,3 +248,21 @@
 		require.InDelta(t, (20*10+burst)/callsPerRequest, ran, 2)
 	})
 }
+
+// Guards against a lease call for each request, and against a request that
+// fails because the store lost the lease.
+func TestRequestsShareALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld([][]fate{{fine, fine, fine, fine, lapsed}}, make([][]fate, 1), 1e6)
+		defer w.close()
+		for i, grants := range []uint64{1, 1, 2} {
+			_, err := w.engines[0].Run(t.Context(), request("a", fmt.Sprintf("k%d", i), time.Second))
+			require.NoError(t, err)
+			require.Equal(t, grants, w.memory.grants)
+		}
+		time.Sleep(leaseUse)
+		_, err := w.engines[0].Run(t.Context(), request("a", "k3", time.Second))
+		require.NoError(t, err)
+		require.Equal(t, uint64(3), w.memory.grants)
+	})
+}
