Check that store faults leave no key claimed

Change: a property test over store faults that end; each key must run in the end and no record may be left. The schedules now really heal before the last requests.

--- a/once/fakes_test.go
+++ b/once/fakes_test.go
@@ -66,6 +66,13 @@
 	p.dead = true
 }
 
+// heal ends the faults of a living host.
+func (p *plan) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fates = nil
+}
+
 func (p *plan) isDead() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -144,6 +145,9 @@
 	}
 	calls.Wait()
 	time.Sleep(time.Minute)
+	for _, p := range w.plans {
+		p.heal()
+	}
 	for i, e := range w.engines {
 		for _, key := range []string{"k1", "k2"} {
 			send(e, fmt.Sprintf("last-%d-%s", i, key), key, time.Second)
@@ -192,6 +196,33 @@
 	})
 }
 
+// Guards against keys that stay claimed although only the store failed for a
+// while: each key must run in the end.
+func TestStoreFaultsBlockNoKey(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		stores, steps := drawFates(rt, "store"), drawSteps(rt)
+		for i := range steps {
+			steps[i].kill = false
+		}
+		var (
+			w       *world
+			answers []answer
+		)
+		synctest.Test(t, func(*testing.T) {
+			w = newWorld(stores, make([][]fate, hosts), 1e6)
+			answers = w.play(steps)
+		})
+		for _, a := range answers {
+			if strings.HasPrefix(a.id, "last") && a.err != nil {
+				rt.Fatalf("request %s for key %s: %v", a.id, a.key, a.err)
+			}
+		}
+		if left := w.engines[0].InProgress() + w.engines[1].InProgress() + w.engines[2].InProgress(); left > 0 {
+			rt.Fatalf("%d records left", left)
+		}
+	})
+}
+
 // Guards against repeats that do not learn the recorded receipt, against more
 // than two store calls for an undisturbed request, and against a key that
 // serves two bodies.
