--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -141,6 +142,16 @@
 		}
 	}
 	require.Equal(t, http.StatusTooManyRequests, status, "the host's share of the store's rate has no effect")
+	metrics := httptest.NewRecorder()
+	f.hosts[0].adminHandler().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`hyssophub_store_calls_total{kind="swap",.*} [1-9]`,
+		`hyssophub_store_active_calls{kind="watch",.*} [01]`,
+		`hyssophub_request_verdicts_total{.*operation="run",.*verdict="may_have_run"} 1`,
+		`hyssophub_config_revision{.*} [1-9]`,
+	} {
+		require.Regexp(t, line, metrics.Body.String())
+	}
 	require.NoError(t, f.server.Close())
 	send(0, "query", `{"tenant": "invoicing", "services": ["fees"], "text": "plot 7", "coverage": 1}`, 503, "ran")
 }
