--- /dev/null
+++ b/config/edit.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// maxChanges is the number of recent changes that a value carries.
+const maxChanges = 64
+
+// Edit is what a change does to the configuration. The interface is sealed.
+type Edit interface{ edit() }
+
+type (
+	// ReplaceManifest installs a new manifest. Zones that are out stay out.
+	ReplaceManifest struct{ Manifest Manifest }
+	// ZoneOut takes an availability zone out of service.
+	ZoneOut struct{ Zone string }
+	// ZoneIn brings an availability zone back into service.
+	ZoneIn struct{ Zone string }
+)
+
+func (ReplaceManifest) edit() {}
+func (ZoneOut) edit()         {}
+func (ZoneIn) edit()          {}
+
+// FaultsError refuses an edit and holds all of its faults.
+type FaultsError struct{ Faults []Fault }
+
+// Error lists the faults.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Apply returns the value after an edit, with the change as its newest audit
+// entry. The revision stays that of the given value until the store assigns a
+// new one. All its errors are of type *FaultsError.
+func Apply(value Value, e Edit, change Change) (Value, error) {
+	next := value
+	var faults []Fault
+	switch e := e.(type) {
+	case ReplaceManifest:
+		faults = Check(e.Manifest)
+		next.Manifest = e.Manifest
+		next.Out = keepKnown(value.Out, e.Manifest.Zones)
+	case ZoneOut:
+		faults = checkOut(value, e.Zone)
+		next.Out = append(slices.Clone(value.Out), e.Zone)
+		slices.Sort(next.Out)
+	case ZoneIn:
+		faults = checkIn(value, e.Zone)
+		next.Out = slices.DeleteFunc(slices.Clone(value.Out), func(z string) bool { return z == e.Zone })
+	}
+	// With no zone in service, every query would be refused.
+	if len(faults) == 0 && len(next.Out) >= len(next.Manifest.Zones) {
+		faults = []Fault{{Place: "zones", Problem: "no zone would be left in service"}}
+	}
+	if len(faults) > 0 {
+		return Value{}, &FaultsError{Faults: faults}
+	}
+	change.From = value.Revision
+	next.Changes = append(slices.Clone(value.Changes), change)
+	if extra := len(next.Changes) - maxChanges; extra > 0 {
+		next.Changes = next.Changes[extra:]
+	}
+	return next, nil
+}
+
+// Describe returns the audit text of an edit.
+func Describe(e Edit) string {
+	switch e := e.(type) {
+	case ReplaceManifest:
+		return fmt.Sprintf("manifest %s with %d services", e.Manifest.Name, len(e.Manifest.Services))
+	case ZoneOut:
+		return "zone " + e.Zone + " out"
+	case ZoneIn:
+		return "zone " + e.Zone + " in"
+	default:
+		return ""
+	}
+}
+
+func checkOut(value Value, zone string) []Fault {
+	switch {
+	case !hasZone(value.Manifest.Zones, zone):
+		return []Fault{{Place: "zone", Problem: fmt.Sprintf("unknown zone %q", zone)}}
+	case slices.Contains(value.Out, zone):
+		return []Fault{{Place: "zone", Problem: fmt.Sprintf("zone %q is already out", zone)}}
+	default:
+		return nil
+	}
+}
+
+func checkIn(value Value, zone string) []Fault {
+	switch {
+	case !hasZone(value.Manifest.Zones, zone):
+		return []Fault{{Place: "zone", Problem: fmt.Sprintf("unknown zone %q", zone)}}
+	case !slices.Contains(value.Out, zone):
+		return []Fault{{Place: "zone", Problem: fmt.Sprintf("zone %q is not out", zone)}}
+	default:
+		return nil
+	}
+}
+
+func hasZone(zones []Zone, name string) bool {
+	return slices.ContainsFunc(zones, func(z Zone) bool { return z.Name == name })
+}
+
+// keepKnown drops zones that the manifest no longer has.
+func keepKnown(out []string, zones []Zone) []string {
+	var kept []string
+	for _, name := range out {
+		if hasZone(zones, name) {
+			kept = append(kept, name)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/config/script_test.go
@@ -0,0 +1,173 @@
+package config_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+)
+
+// start is the zero time of the scripts.
+var start = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+// script is the state that the commands of one file share.
+type script struct {
+	value config.Value
+	table *config.Table
+}
+
+// Guards against wrong manifests that pass, edits with another effect than
+// ordered, wrongly decided lost answers, and hosts that are fresh too long.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{table: config.NewTable()}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "check":
+				return s.check(t, d)
+			case "manifest", "out", "in":
+				return s.edit(t, d)
+			case "diff":
+				before, after, _ := strings.Cut(d.Input, "\n--\n")
+				return showDifferences(config.Differences(decode(t, d, before), decode(t, d, after)))
+			case "decide":
+				return decide(t, d)
+			case "install":
+				return s.install(t, d)
+			case "report":
+				return s.report(t, d)
+			case "fresh":
+				return fmt.Sprintln(s.table.Fresh(at(t, d, "now")))
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+func decode(t *testing.T, d *datadriven.TestData, text string) config.Manifest {
+	m, err := codec.DecodeManifest([]byte(text))
+	if err != nil {
+		d.Fatalf(t, "manifest: %v", err)
+	}
+	return m
+}
+
+func (s *script) check(t *testing.T, d *datadriven.TestData) string {
+	return showFaults(config.Check(decode(t, d, d.Input)))
+}
+
+func showFaults(faults []config.Fault) string {
+	var b strings.Builder
+	for _, f := range faults {
+		fmt.Fprintln(&b, f)
+	}
+	if len(faults) == 0 {
+		return "ok\n"
+	}
+	return b.String()
+}
+
+func (s *script) edit(t *testing.T, d *datadriven.TestData) string {
+	change := config.Change{ID: "change", Author: "office", At: start}
+	d.MaybeScanArgs(t, "id", &change.ID)
+	d.MaybeScanArgs(t, "author", &change.Author)
+	var zone string
+	d.MaybeScanArgs(t, "zone", &zone)
+	var e config.Edit = config.ZoneOut{Zone: zone}
+	switch d.Cmd {
+	case "in":
+		e = config.ZoneIn{Zone: zone}
+	case "manifest":
+		e = config.ReplaceManifest{Manifest: decode(t, d, d.Input)}
+	}
+	change.Note = config.Describe(e)
+	times := 1
+	d.MaybeScanArgs(t, "times", &times)
+	for range times {
+		next, err := config.Apply(s.value, e, change)
+		var faults *config.FaultsError
+		if errors.As(err, &faults) {
+			return "refused\n" + showFaults(faults.Faults)
+		}
+		next.Revision = s.value.Revision + 10
+		s.value = next
+	}
+	last := s.value.Changes[len(s.value.Changes)-1]
+	return fmt.Sprintf("revision %d, out %v, %d changes, newest: %s by %s from %d: %s\n",
+		s.value.Revision, s.value.Out, len(s.value.Changes), last.ID, last.Author, last.From, last.Note)
+}
+
+func showDifferences(list []config.Difference) string {
+	var b strings.Builder
+	for _, x := range list {
+		switch x := x.(type) {
+		case config.Added:
+			fmt.Fprintln(&b, "added", x.Place)
+		case config.Removed:
+			fmt.Fprintln(&b, "removed", x.Place)
+		case config.Changed:
+			fmt.Fprintf(&b, "changed %s: %s -> %s\n", x.Place, x.Before, x.After)
+		}
+	}
+	if len(list) == 0 {
+		return "equal\n"
+	}
+	return b.String()
+}
+
+// decide reads the recent changes from lines "ID AUTHOR FROM".
+func decide(t *testing.T, d *datadriven.TestData) string {
+	var (
+		value config.Value
+		id    string
+		base  uint64
+	)
+	d.ScanArgs(t, "revision", &value.Revision)
+	d.ScanArgs(t, "id", &id)
+	d.ScanArgs(t, "base", &base)
+	for line := range strings.Lines(d.Input) {
+		var c config.Change
+		if _, err := fmt.Sscan(line, &c.ID, &c.Author, &c.From); err != nil {
+			d.Fatalf(t, "%q: %v", line, err)
+		}
+		value.Changes = append(value.Changes, c)
+	}
+	return fmt.Sprintf("%T%+v\n", config.Decide(value, id, base), config.Decide(value, id, base))
+}
+
+func (s *script) install(t *testing.T, d *datadriven.TestData) string {
+	value := config.Value{Manifest: decode(t, d, d.Input)}
+	d.ScanArgs(t, "revision", &value.Revision)
+	accepted := s.table.Accept(value)
+	return fmt.Sprintf("accepted %v, revision %d\n", accepted, s.table.View().Value.Revision)
+}
+
+func (s *script) report(t *testing.T, d *datadriven.TestData) string {
+	var zone string
+	d.ScanArgs(t, "zone", &zone)
+	s.table.Report(zone, at(t, d, "heard"), at(t, d, "confirmed"))
+	return ""
+}
+
+// at reads an argument as a time after the script's start. A missing one is
+// the zero time, which means never.
+func at(t *testing.T, d *datadriven.TestData, name string) time.Time {
+	var text string
+	d.MaybeScanArgs(t, name, &text)
+	if text == "" {
+		return time.Time{}
+	}
+	offset, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+	return start.Add(offset)
+}
--- a/config/table.go
+++ b/config/table.go
@@ -2,15 +2,18 @@
 
 import "sync"
 
-// Table holds the newest accepted configuration that this daemon knows. It is
-// first in the lock order.
+// Table holds the newest accepted configuration that this daemon knows, and the
+// zone reports that its freshness follows from. It is first in the lock order.
 type Table struct {
-	mu   sync.RWMutex
-	view *View
+	mu      sync.RWMutex
+	view    *View
+	reports map[string]ZoneReport
 }
 
 // NewTable returns a table with an empty configuration at revision zero.
-func NewTable() *Table { return &Table{view: NewView(Value{})} }
+func NewTable() *Table {
+	return &Table{view: NewView(Value{}), reports: make(map[string]ZoneReport)}
+}
 
 // Accept installs a value if its revision is newer than the current one and
 // reports whether it did. Older values are ignored, so late reads and old
--- a/config/view.go
+++ b/config/view.go
@@ -34,6 +34,8 @@
 	byTenant map[string][]string
 	out      map[string]bool
 	homes    map[string]string
+	// homeZones are the zones whose hosts own servers, in manifest order.
+	homeZones []string
 }
 
 // NewView indexes a value. The value must not change afterwards.
@@ -50,6 +52,9 @@
 	}
 	for _, z := range value.Manifest.Zones {
 		v.homes[z.Name] = cmp.Or(z.Via, z.Name)
+		if z.Via == "" {
+			v.homeZones = append(v.homeZones, z.Name)
+		}
 	}
 	for _, t := range value.Manifest.Tenants {
 		v.tenants[t.Name] = t
