Make configuration changes over the store

Cause: changes need compare-and-swap with a decision on lost answers. Change: Changer reads, applies, swaps and retries with the same id and with jitter, and ends accepted, refused, conflicted, pending or unreached. Conclusion: a change made from a moved revision ends in a conflict and is never rebased, so each office sees what came before its change.

--- a/codec/value.go
+++ b/codec/value.go
@@ -46,3 +46,14 @@
 	}
 	return json.Marshal(w)
 }
+
+// JSON implements config.Codec.
+type JSON struct{}
+
+// Encode implements config.Codec.
+func (JSON) Encode(value config.Value) ([]byte, error) { return EncodeValue(value) }
+
+// Decode implements config.Codec.
+func (JSON) Decode(data []byte, revision uint64) (config.Value, error) {
+	return DecodeValue(data, revision)
+}
--- /dev/null
+++ b/config/changer_test.go
@@ -0,0 +1,251 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+	"hyssophub/props"
+	"hyssophub/store"
+)
+
+func TestMain(m *testing.M) { os.Exit(props.Main(m)) }
+
+// memory is a store.KV in memory that answers after a delay and fails at
+// random. Lost calls take effect early, late or never.
+type memory struct {
+	store.KV
+	loss float64
+	down bool
+
+	mu     sync.Mutex
+	random *rand.Rand
+	entry  store.Entry
+	// history holds every value by revision.
+	history map[uint64]config.Value
+}
+
+func (m *memory) draw() (lost bool, delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.Float64() < m.loss, time.Duration(m.random.IntN(30)) * time.Millisecond
+}
+
+func (m *memory) Get(context.Context, string) (store.Entry, error) {
+	lost, delay := m.draw()
+	<-time.After(delay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if lost || m.down {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return m.entry, nil
+}
+
+func (m *memory) Swap(_ context.Context, _ string, revision uint64, value []byte, _ store.LeaseID) (store.Entry, error) {
+	lost, delay := m.draw()
+	if lost {
+		// Half of the lost calls take effect after the caller's next read.
+		time.AfterFunc(10*delay, func() { _, _ = m.swap(revision, value) })
+		if delay%2 == 0 {
+			_, _ = m.swap(revision, value)
+		}
+		return store.Entry{}, store.ErrUnknown
+	}
+	<-time.After(delay)
+	return m.swap(revision, value)
+}
+
+func (m *memory) swap(revision uint64, data []byte) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entry.Revision != revision {
+		return m.entry, store.ErrConflict
+	}
+	m.entry = store.Entry{Revision: revision + 1 + uint64(m.random.IntN(3)), Value: data}
+	value, err := codec.DecodeValue(data, m.entry.Revision)
+	m.history[m.entry.Revision] = value
+	return m.entry, err
+}
+
+func newMemory(random *rand.Rand, loss float64) *memory {
+	return &memory{random: random, loss: loss, history: make(map[uint64]config.Value)}
+}
+
+func manifest(t require.TestingT) config.Manifest {
+	data, err := os.ReadFile("../examples/skane.json")
+	require.NoError(t, err)
+	m, err := codec.DecodeManifest(data)
+	require.NoError(t, err)
+	require.Empty(t, config.Check(m))
+	return m
+}
+
+// Guards against two winners of one revision, an accepted change that is lost,
+// a lost answer that is decided wrongly, and tables that revert.
+func TestRacingOffices(t *testing.T) {
+	small := manifest(t)
+	small.Services = small.Services[:1]
+	first, err := codec.EncodeValue(config.Value{Manifest: small})
+	require.NoError(t, err)
+	counts := make(map[string]int)
+	rapid.Check(t, func(r *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 0))
+		kv := newMemory(random, rapid.SampledFrom([]float64{0.1, 0.5}).Draw(r, "loss"))
+		offices := rapid.IntRange(2, 5).Draw(r, "offices")
+		changes := rapid.IntRange(1, 30).Draw(r, "changes")
+		var results map[string]config.Result
+		synctest.Test(t, func(t *testing.T) {
+			_, err := kv.swap(0, first)
+			require.NoError(t, err)
+			results = race(config.NewChanger(kv, codec.JSON{}, 3*time.Second), offices, changes)
+			// Swaps in flight may still take effect.
+			<-time.After(time.Second)
+		})
+		judge(r, kv, results)
+		for _, result := range results {
+			counts[fmt.Sprintf("%T", result)]++
+		}
+	})
+	t.Logf("results: %v", counts)
+}
+
+// race lets offices toggle zones at once and returns the result of each change.
+func race(changer *config.Changer, offices, changes int) map[string]config.Result {
+	var (
+		mu      sync.Mutex
+		running sync.WaitGroup
+		results = make(map[string]config.Result)
+	)
+	for o := range offices {
+		running.Go(func() {
+			for c := range changes {
+				zone := string(rune('a' + (o+c/2)%4))
+				var edit config.Edit = config.ZoneOut{Zone: zone}
+				if c%2 == 1 {
+					edit = config.ZoneIn{Zone: zone}
+				}
+				id := fmt.Sprintf("%d/%d", o, c)
+				result := changer.Change(context.Background(), config.Request{ID: id, Author: fmt.Sprint(o), Edit: edit})
+				mu.Lock()
+				results[id] = result
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	return results
+}
+
+// judge compares the results with the whole history of the store.
+func judge(t *rapid.T, kv *memory, results map[string]config.Result) {
+	at := make(map[string]uint64)
+	from := make(map[uint64]bool)
+	table := config.NewTable()
+	for revision, value := range kv.history {
+		before := table.View().Value.Revision
+		table.Accept(value)
+		require.GreaterOrEqual(t, table.View().Value.Revision, before)
+		if len(value.Changes) == 0 {
+			continue
+		}
+		newest := value.Changes[len(value.Changes)-1]
+		require.NotContains(t, at, newest.ID, "applied twice")
+		require.False(t, from[newest.From], "two winners from revision %d", newest.From)
+		at[newest.ID], from[newest.From] = revision, true
+	}
+	require.Equal(t, kv.entry.Revision, table.View().Value.Revision)
+	for id, result := range results {
+		switch r := result.(type) {
+		case config.Accepted:
+			require.Equal(t, r.Revision, at[id], id)
+		case config.Conflicted:
+			require.NotContains(t, at, id)
+			require.Equal(t, r.Winner.Revision, at[r.Winner.ID])
+		case config.Refused, config.Unreached:
+			require.NotContains(t, at, id)
+		case config.Pending:
+		}
+	}
+}
+
+// Guards against a change past its guard, a value that the store cannot hold,
+// a repeated change that is applied twice, and a wrong result of an outage.
+func TestChangeResults(t *testing.T) {
+	m := manifest(t)
+	synctest.Test(t, func(t *testing.T) {
+		kv := newMemory(rand.New(rand.NewPCG(1, 1)), 0)
+		changer := config.NewChanger(kv, codec.JSON{}, time.Second)
+		change := func(r config.Request) config.Result { return changer.Change(t.Context(), r) }
+		first := change(config.Request{ID: "m", Author: "north", Guarded: true, Edit: config.ReplaceManifest{Manifest: m}})
+		require.Equal(t, config.Accepted{Revision: kv.entry.Revision}, first)
+		revision := kv.entry.Revision
+
+		out := config.Request{ID: "z", Author: "south", Guarded: true, Edit: config.ZoneOut{Zone: "a"}}
+		require.Equal(t, config.Conflicted{Winner: config.Winner{Revision: revision, Author: "north", ID: "m"}}, change(out))
+		out.Base = revision
+		accepted := change(out)
+		require.Equal(t, config.Accepted{Revision: kv.entry.Revision}, accepted)
+		out.Repeat = true
+		require.Equal(t, accepted, change(out))
+		out.Guarded = false
+		require.IsType(t, config.Refused{}, change(out))
+
+		big := m
+		for i := range 300 {
+			s := m.Services[0]
+			s.Name, s.Shards, s.Servers = fmt.Sprintf("big-%d", i), nil, []config.Server{{Name: fmt.Sprintf("big-%d", i), Zone: "a", Address: fmt.Sprintf("10.0.1.1:%d", 1000+i)}}
+			for j := range 200 {
+				s.Shards = append(s.Shards, fmt.Sprintf("shard-with-a-long-name-%d", j))
+			}
+			big.Services = append(big.Services[:len(big.Services):len(big.Services)], s)
+		}
+		refused := change(config.Request{ID: "big", Edit: config.ReplaceManifest{Manifest: big}})
+		require.IsType(t, config.Refused{}, refused)
+		require.Contains(t, refused.(config.Refused).Faults[0].Problem, "the store holds 1048576")
+
+		kv.down = true
+		require.IsType(t, config.Unreached{}, change(config.Request{ID: "down", Edit: config.ZoneIn{Zone: "a"}}))
+		out.Guarded = true
+		require.IsType(t, config.Pending{}, change(out))
+	})
+}
+
+// designServers is the number of backend servers of the design size.
+const designServers = 4400
+
+// Guards against a stored value that outgrows the store at the design size.
+func TestDesignSizeFitsTheStore(t *testing.T) {
+	m := config.Manifest{Name: "design", Tenants: []config.Tenant{{Name: "tenant"}}}
+	for z := range 9 {
+		m.Zones = append(m.Zones, config.Zone{Name: fmt.Sprintf("region-%d-zone-%d", z/3, z), Region: fmt.Sprintf("region-%d", z/3), Hosts: 74})
+	}
+	for i := range designServers / 2 {
+		name := fmt.Sprintf("tenant-service-%04d", i)
+		s := config.Service{Name: name, Tenant: "tenant", Slots: 2, Connections: 25, Connect: 6 * time.Millisecond, Floor: 5, Warmup: time.Minute, Shards: []string{name + ".0", name + ".1"}}
+		for r := range 2 {
+			s.Servers = append(s.Servers, config.Server{Name: fmt.Sprintf("%s-%d", name, r), Zone: m.Zones[(i+r*4)%9].Name, Address: fmt.Sprintf("10.%d.%d.%d:8080", r, i/250, i%250)})
+		}
+		m.Services = append(m.Services, s)
+	}
+	change := config.Change{ID: "00000000-0000-0000-0000-000000000000", Author: "office", At: start, Note: "manifest design with 2200 services"}
+	value, err := config.Apply(config.Value{}, config.ReplaceManifest{Manifest: m}, change)
+	require.NoError(t, err)
+	for len(value.Changes) < 64 {
+		value.Changes = append(value.Changes, change)
+	}
+	data, err := codec.EncodeValue(value)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), store.MaxValue)
+	t.Logf("value of %d servers: %d bytes", designServers, len(data))
+}
