--- a/codec/manifest.go
+++ b/codec/manifest.go
@@ -112,10 +112,11 @@
 	for _, z := range w.Zones {
 		m.Zones = append(m.Zones, config.Zone(z))
 	}
-	for _, t := range w.Tenants {
+	var faults []error
+	for i, t := range w.Tenants {
 		class, ok := shard.ParseClass(t.Class)
 		if !ok {
-			return config.Manifest{}, oops.Errorf("tenant %q: class is %q, allowed are urgent and routine", t.Name, t.Class)
+			faults = append(faults, oops.Errorf("tenants[%d].class: %q is neither urgent nor routine", i, t.Class))
 		}
 		m.Tenants = append(m.Tenants, config.Tenant{Name: t.Name, Class: class})
 	}
@@ -135,6 +136,9 @@
 		}
 		m.Services = append(m.Services, service)
 	}
+	if err := errors.Join(faults...); err != nil {
+		return config.Manifest{}, err
+	}
 	return m, nil
 }
 
