Serve the administration API

Cause: operators had no way to reach the configuration. Change: package admin serves manifest check, apply and show, the zones, the status and the metrics. Offices are told apart by bearer tokens from a JSON file, compared in constant time. daemon mounts it and implements admin.Host; a watch answer counts as a store confirmation of the host's own zone. Conclusion: a host without a token file serves metrics only.

--- /dev/null
+++ b/admin/status.go
@@ -0,0 +1,43 @@
+package admin
+
+import (
+	"net/http"
+	"time"
+)
+
+// Status describes an entry host.
+type Status struct {
+	Host     string
+	Zone     string
+	Revision uint64
+	Fresh    bool
+	// Members are the live hosts of the host's zone.
+	Members []string
+	// Servers are the backend servers that the host owns.
+	Servers []string
+	// Waits says what the host waits for before it serves fully.
+	Waits []string
+}
+
+type wireStatus struct {
+	Host     string   `json:"host"`
+	Zone     string   `json:"zone"`
+	Revision uint64   `json:"revision"`
+	Fresh    bool     `json:"fresh"`
+	Members  []string `json:"members"`
+	Servers  []string `json:"servers"`
+	Waits    []string `json:"waits"`
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
+	s := h.host.Status(time.Now())
+	writeJSON(w, http.StatusOK, wireStatus{
+		Host:     s.Host,
+		Zone:     s.Zone,
+		Revision: s.Revision,
+		Fresh:    s.Fresh,
+		Members:  append([]string{}, s.Members...),
+		Servers:  append([]string{}, s.Servers...),
+		Waits:    append([]string{}, s.Waits...),
+	})
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"hyssophub/admin"
+	"hyssophub/codec"
+	"hyssophub/config"
+	"hyssophub/logs"
+)
+
+// View implements admin.Host.
+func (c *Core) View() *config.View { return c.config.View() }
+
+// Status implements admin.Host.
+func (c *Core) Status(now time.Time) admin.Status {
+	view := c.config.View()
+	s := admin.Status{
+		Host:     c.self.Name,
+		Zone:     c.self.Zone,
+		Revision: view.Value.Revision,
+		Fresh:    c.config.Fresh(now),
+	}
+	for _, h := range c.members.Live(c.self.Zone) {
+		s.Members = append(s.Members, h.Name)
+	}
+	for _, p := range c.owned.Owned() {
+		s.Servers = append(s.Servers, p.Server.Name)
+	}
+	slices.Sort(s.Servers)
+	s.Waits = c.waits(view, s.Fresh)
+	return s
+}
+
+// waits lists what the host lacks to serve fully.
+func (c *Core) waits(view *config.View, fresh bool) []string {
+	var waits []string
+	if view.Value.Revision == 0 {
+		waits = append(waits, "configuration")
+	}
+	if !fresh {
+		waits = append(waits, "confirmation of the configuration")
+	}
+	if stale := len(c.routes.Stale(serverNames(view))); stale > 0 {
+		waits = append(waits, "catalogs of "+strconv.Itoa(stale)+" servers")
+	}
+	return waits
+}
+
+func serverNames(view *config.View) []string {
+	names := make([]string, 0, view.Servers())
+	for _, s := range view.Value.Manifest.Services {
+		for _, server := range s.Servers {
+			names = append(names, server.Name)
+		}
+	}
+	return names
+}
+
+// Changer returns the service that makes changes through this host's store.
+func (c *Core) Changer() *config.Changer {
+	return config.NewChanger(c.ports.KV, codec.JSON{}, config.DefaultLimit)
+}
+
+// adminHandler serves the administration API. Without a token file, only the
+// metrics can be read.
+func (d *Daemon) adminHandler(log *logs.Logs) (http.Handler, error) {
+	var tokens admin.Tokens
+	if d.settings.Tokens != "" {
+		var err error
+		if tokens, err = admin.ReadTokens(d.settings.Tokens); err != nil {
+			return nil, err
+		}
+	}
+	return admin.NewHandler(d.core, d.core.Changer(), tokens, d.stats.Handler(), log.Layer(logs.LayerAdmin)), nil
+}
+
+// AdminAddress returns the address of the administration API.
+func (d *Daemon) AdminAddress() string { return d.listeners[2].address() }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -77,6 +77,8 @@
 	if e.Revision > revision {
 		c.accept(e)
 	}
+	now := time.Now()
+	c.config.Report(c.self.Zone, now, now)
 	return 0
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,13 +92,17 @@
 
 func (d *Daemon) listen(log *logs.Logs) error {
 	callers := entry.NewHandler(d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load)
+	operators, err := d.adminHandler(log)
+	if err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		address string
 		handler http.Handler
 	}{
 		{d.settings.Caller, callers},
 		{d.settings.Peer, peer.NewHandler(handler{d.core})},
-		{d.settings.Admin, d.adminHandler()},
+		{d.settings.Admin, operators},
 	} {
 		started, err := startListener(l.address, l.handler)
 		if err != nil {
@@ -108,9 +112,3 @@
 	}
 	return nil
 }
-
-func (d *Daemon) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", d.stats.Handler())
-	return mux
-}
