--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -23,9 +23,13 @@
 }
 
 type root struct {
-	Log   string   `help:"Layers that log at debug level: query,owner,member,config,peer,admin or all."`
-	Demo  demoCmd  `cmd:"" help:"Run a deployment with stand-ins in this process and query it."`
-	Serve serveCmd `cmd:"" help:"Run an entry host."`
+	Log      string      `help:"Layers that log at debug level: query,owner,member,config,peer,admin or all."`
+	Demo     demoCmd     `cmd:"" help:"Run a deployment with stand-ins in this process and query it."`
+	Serve    serveCmd    `cmd:"" help:"Run an entry host."`
+	Manifest manifestCmd `cmd:"" help:"Check, apply or show the manifest."`
+	Zone     zoneCmd     `cmd:"" help:"List availability zones or take them out and in."`
+	Status   statusCmd   `cmd:"" help:"Show the status of a host."`
+	Query    queryCmd    `cmd:"" help:"Send a query as a caller."`
 }
 
 // errUsage marks an error in how a command was called.
@@ -57,7 +61,9 @@
 		return ExitUsage
 	}
 	if err := command.Run(&cli, &streams); err != nil {
-		_, _ = fmt.Fprintln(streams.Err, "hyssophub:", err)
+		if !errors.Is(err, errFailed) {
+			_, _ = fmt.Fprintln(streams.Err, "hyssophub:", err)
+		}
 		if errors.Is(err, errUsage) {
 			return ExitUsage
 		}
