--- a/cmds/manifest.go
+++ b/cmds/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/url"
 	"os"
@@ -25,6 +26,15 @@
 	Change   string  `help:"Id of a pending change to repeat; needs --revision."`
 }
 
+// Validate is called by kong. Without the revision, a repeated change could be
+// applied twice.
+func (g guard) Validate() error {
+	if g.Change != "" && g.Revision == nil {
+		return errors.New("--change needs --revision")
+	}
+	return nil
+}
+
 func (g guard) query() url.Values {
 	query := make(url.Values)
 	if g.Revision != nil {
--- a/cmds/remote.go
+++ b/cmds/remote.go
@@ -137,11 +137,18 @@
 	case "unreached":
 		printf(out, "refused: the store cannot be reached: %s\n", a.Error)
 	default:
-		printf(out, "refused %s\n", a.Error)
+		printf(out, "refused%s\n", detail(a.Error))
 	}
 	printFaults(out, a.Faults)
 }
 
+func detail(text string) string {
+	if text == "" {
+		return ""
+	}
+	return ": " + text
+}
+
 func printFaults(out io.Writer, faults []fault) {
 	for _, f := range faults {
 		printf(out, "  %s: %s\n", f.Place, f.Problem)
--- /dev/null
+++ b/cmds/script_test.go
@@ -0,0 +1,124 @@
+package cmds
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+	"hyssophub/daemon"
+	"hyssophub/fakes"
+	"hyssophub/logs"
+	"hyssophub/setup"
+)
+
+// Guards against wrong exit codes and outputs of the commands, and against
+// changes that do not reach the store or the host. Each line of a script is a
+// command line; ids, times, the folder and the number of sub-requests
+// are masked.
+func TestCommands(t *testing.T) {
+	script, err := filepath.Abs("testdata/operators")
+	require.NoError(t, err)
+	folder := startDeployment(t)
+	t.Chdir(folder)
+	masks := regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}|[0-9-]{10}T[0-9:.]+Z|[0-9.]+ ms|[0-9]+ sub-requests .[0-9]+ extra.|"took":[0-9.]+|` + regexp.QuoteMeta(folder+"/"))
+	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "await" {
+			var revision uint64
+			d.ScanArgs(t, "revision", &revision)
+			await(t, revision)
+			return ""
+		}
+		var out, failure bytes.Buffer
+		exit := Run(strings.Fields(d.Input), Streams{Out: &out, Err: &failure})
+		text := fmt.Sprintf("exit %d\n%s%s", exit, out.String(), failure.String())
+		text = masks.ReplaceAllString(text, "*")
+		if d.HasArg("head") && len(text) > headLength {
+			text = text[:headLength] + "...\n"
+		}
+		return text
+	})
+}
+
+// headLength cuts long outputs that are marked with head.
+const headLength = 200
+
+// startDeployment starts a host with a fake store and fake servers, and returns
+// the folder with the manifests and the token files.
+func startDeployment(t *testing.T) string {
+	platform, err := fakes.NewStore("")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = platform.Close() })
+	data, err := os.ReadFile("testdata/manifest.json")
+	require.NoError(t, err)
+	m, err := codec.DecodeManifest(data)
+	require.NoError(t, err)
+	startBackends(t, &m)
+	text, err := codec.EncodeManifest(m)
+	require.NoError(t, err)
+	folder := t.TempDir()
+	for name, content := range map[string]string{
+		"manifest.json": string(text),
+		"faulty.json":   `{"zones":[{"name":"a"}]}`,
+		"broken.json":   `{`,
+		"tokens.json":   `{"north":"north-token-0123456789"}`,
+		"north":         northToken + "\n",
+		"wrong":         "wrong-token-0123456789\n",
+	} {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600))
+	}
+	host, err := daemon.New(setup.Settings{
+		Name: "h1", Zone: "a", Caller: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0", Beat: "127.0.0.1:0",
+		Platform: platform.Address(), Tokens: filepath.Join(folder, "tokens.json"), Stop: setup.Stop{Finish: time.Second},
+	}, logs.Discard())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = host.Close() })
+	t.Setenv("HYSSOPHUB_ADMIN", host.AdminAddress())
+	t.Setenv("HYSSOPHUB_CALLER", host.CallerAddress())
+	t.Setenv("HYSSOPHUB_TOKEN", filepath.Join(folder, "north"))
+	return folder
+}
+
+// northToken is the token of the only office.
+const northToken = "north-token-0123456789"
+
+// startBackends starts a fake server for each entry of the manifest.
+func startBackends(t *testing.T, m *config.Manifest) {
+	for i := range m.Services {
+		s := &m.Services[i]
+		for j := range s.Servers {
+			server, err := fakes.NewServer(fakes.ServerOptions{
+				Name: s.Servers[j].Name, Slots: s.Slots, Service: time.Millisecond,
+				Indexes: []fakes.Index{{Version: 1, All: s.Shards, Shards: s.Shards}},
+			})
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = server.Close() })
+			s.Servers[j].Address = server.Address()
+		}
+	}
+}
+
+// awaitLimit bounds the wait for the host's watch.
+const awaitLimit = 5 * time.Second
+
+// await waits until a revision is in force and the host waits for nothing.
+func await(t *testing.T, revision uint64) {
+	target := url.URL{Scheme: "http", Host: os.Getenv("HYSSOPHUB_ADMIN"), Path: "/v1/status"}
+	require.Eventually(t, func() bool {
+		r, err := send(http.MethodGet, target.String(), northToken, nil)
+		var s shownStatus
+		return err == nil && json.Unmarshal(r.body, &s) == nil && s.Revision == revision && len(s.Waits) == 0
+	}, awaitLimit, 10*time.Millisecond)
+}
