Run the commands against a store that loses answers

Cause: lost answers were tested only over the fake in memory. Change: the script makes the fake store cut the connection after each write.

--- a/cmds/script_test.go
+++ b/cmds/script_test.go
@@ -31,15 +31,21 @@
 func TestCommands(t *testing.T) {
 	script, err := filepath.Abs("testdata/operators")
 	require.NoError(t, err)
-	folder := startDeployment(t)
+	folder, platform := startDeployment(t)
 	t.Chdir(folder)
 	masks := regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}|[0-9-]{10}T[0-9:.]+Z|[0-9.]+ ms|[0-9]+ sub-requests .[0-9]+ extra.|"took":[0-9.]+|` + regexp.QuoteMeta(folder+"/"))
 	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
-		if d.Cmd == "await" {
+		switch d.Cmd {
+		case "await":
 			var revision uint64
 			d.ScanArgs(t, "revision", &revision)
 			await(t, revision)
 			return ""
+		case "lose":
+			var fault fakes.StoreFault
+			d.ScanArgs(t, "every", &fault.LoseEvery)
+			platform.SetFault(fault)
+			return ""
 		}
 		var out, failure bytes.Buffer
 		exit := Run(strings.Fields(d.Input), Streams{Out: &out, Err: &failure})
@@ -56,8 +62,8 @@
 const headLength = 200
 
 // startDeployment starts a host with a fake store and fake servers, and returns
-// the folder with the manifests and the token files.
-func startDeployment(t *testing.T) string {
+// the folder with the manifests and the token files, and the store.
+func startDeployment(t *testing.T) (string, *fakes.Store) {
 	platform, err := fakes.NewStore("")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = platform.Close() })
@@ -88,7 +94,7 @@
 	t.Setenv("HYSSOPHUB_ADMIN", host.AdminAddress())
 	t.Setenv("HYSSOPHUB_CALLER", host.CallerAddress())
 	t.Setenv("HYSSOPHUB_TOKEN", filepath.Join(folder, "north"))
-	return folder
+	return folder, platform
 }
 
 // northToken is the token of the only office.
