--- a/codec/value.go
+++ b/codec/value.go
@@ -1,9 +1,14 @@
 package codec
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"time"
 
+	"github.com/samber/oops"
+
 	"hyssophub/config"
 )
 
@@ -21,10 +26,21 @@
 	Note   string    `json:"note"`
 }
 
+// maxPlain bounds a configuration after decompression, in bytes.
+const maxPlain = 16 << 20
+
 // DecodeValue reads a stored configuration. The revision is the store's.
 func DecodeValue(data []byte, revision uint64) (config.Value, error) {
+	plain, err := decompress(data)
+	if err != nil {
+		return config.Value{}, err
+	}
+	return decodePlain(plain, revision)
+}
+
+func decodePlain(plain []byte, revision uint64) (config.Value, error) {
 	var w wireValue
-	if err := decodeStrict(data, &w); err != nil {
+	if err := decodeStrict(plain, &w); err != nil {
 		return config.Value{}, err
 	}
 	manifest, err := fromWire(w.Manifest)
@@ -38,11 +54,56 @@
 	return value, nil
 }
 
-// EncodeValue writes a configuration as the store holds it.
+// EncodeValue writes a configuration as the store holds it: JSON compressed
+// with gzip. Each change sends the whole value to each host; at 3,000 changes a
+// day and 4,400 servers the plain text would take most of the 28 KB/s that
+// control may use.
 func EncodeValue(value config.Value) ([]byte, error) {
 	w := wireValue{Manifest: toWire(value.Manifest), Out: value.Out}
 	for _, c := range value.Changes {
 		w.Changes = append(w.Changes, wireChange(c))
 	}
-	return json.Marshal(w)
+	plain, err := json.Marshal(w)
+	if err != nil {
+		return nil, oops.Wrapf(err, "configuration")
+	}
+	return compress(plain)
+}
+
+func compress(plain []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(plain); err != nil {
+		return nil, oops.Wrapf(err, "compress configuration")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, oops.Wrapf(err, "compress configuration")
+	}
+	return buffer.Bytes(), nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, oops.Wrapf(err, "configuration is not compressed with gzip")
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, maxPlain+1))
+	if err != nil {
+		return nil, oops.Wrapf(err, "decompress configuration")
+	}
+	if len(plain) > maxPlain {
+		return nil, oops.Errorf("configuration exceeds %d bytes after decompression", maxPlain)
+	}
+	return plain, nil
+}
+
+// JSON implements config.Codec.
+type JSON struct{}
+
+// Encode implements config.Codec.
+func (JSON) Encode(value config.Value) ([]byte, error) { return EncodeValue(value) }
+
+// Decode implements config.Codec.
+func (JSON) Decode(data []byte, revision uint64) (config.Value, error) {
+	return DecodeValue(data, revision)
 }
--- a/config/table.go
+++ b/config/table.go
@@ -1,16 +1,24 @@
 package config
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Table holds the newest accepted configuration that this daemon knows. It is
-// first in the lock order.
+// Table holds the newest accepted configuration that this daemon knows, and the
+// zone reports that its freshness follows from. It is first in the lock order.
 type Table struct {
-	mu   sync.RWMutex
-	view *View
+	mu      sync.RWMutex
+	view    *View
+	reports map[string]ZoneReport
+	// until is when the host stops being fresh unless a report follows.
+	until time.Time
 }
 
 // NewTable returns a table with an empty configuration at revision zero.
-func NewTable() *Table { return &Table{view: NewView(Value{})} }
+func NewTable() *Table {
+	return &Table{view: NewView(Value{}), reports: make(map[string]ZoneReport)}
+}
 
 // Accept installs a value if its revision is newer than the current one and
 // reports whether it did. Older values are ignored, so late reads and old
@@ -29,6 +37,7 @@
 		return false
 	}
 	t.view = view
+	t.until = FreshUntil(view.homeZones, t.reports)
 	return true
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -12,9 +12,6 @@
 	"hyssophub/store"
 )
 
-// configKey is the key of the configuration in the platform's store.
-const configKey = "config"
-
 // Workers, queue bound and intervals of the control jobs.
 const (
 	controlWorkers  = 4
@@ -69,7 +66,7 @@
 // watch.
 func (c *Core) watch() time.Duration {
 	revision := c.config.View().Value.Revision
-	e, err := c.ports.KV.Watch(c.ctx, configKey, revision)
+	e, err := c.ports.KV.Watch(c.ctx, config.Key, revision)
 	if err != nil {
 		c.log.Debug().Err(err).Msg("configuration watch failed")
 		return watchPause
@@ -77,6 +74,8 @@
 	if e.Revision > revision {
 		c.accept(e)
 	}
+	now := time.Now()
+	c.config.Report(c.self.Zone, now, now)
 	return 0
 }
 
