Answer callers with the cause alone in the error field

Cause: replies repeated reason and verdict, which have fields of their own. Result: "tenant ... has no service ..." in place of "unknown_service (not_run): tenant ...". Conclusion: each fact stands once in a reply.

--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -29,7 +29,7 @@
 	verdict, reason := fault.VerdictOf(err), fault.ReasonOf(err)
 	h.stats.Refused(labels, verdict.String(), string(reason))
 	h.log.Debug().Str("request", id).Str("verdict", verdict.String()).Str("reason", string(reason)).Err(err).Msg("request refused")
-	body := wireError{Request: id, Verdict: verdict.String(), Reason: string(reason), Error: err.Error()}
+	body := wireError{Request: id, Verdict: verdict.String(), Reason: string(reason), Error: fault.Detail(err)}
 	if reason == fault.ReasonCoverage && answer != nil {
 		coverage := encodeCoverage(answer.Coverage)
 		body.Coverage = &coverage
--- a/fault/error.go
+++ b/fault/error.go
@@ -86,3 +86,13 @@
 	}
 	return ReasonInternal
 }
+
+// Detail returns the cause of err without its reason and verdict, for answers
+// that carry those in fields of their own.
+func Detail(err error) string {
+	var typed *Error
+	if errors.As(err, &typed) && typed.Err != nil {
+		return typed.Err.Error()
+	}
+	return err.Error()
+}
