Add the ramp, cold detection, reservation and handover to the owner

Cause: the owner dispatched to every server up to its slots, whatever the server's state, and lost all state on a change of ownership. Change: server states are a sealed interface; the ramp limits concurrency and rate from the manifest's floor; slow and overdue replies return a server to the ramp; routine work leaves slots for urgent work; Release and Adopt pass the state on; a takeover without it reserves the slots. The latency window is kept sorted. shard.Answered tells of a reply that announced draining.

--- a/owner/decision.go
+++ b/owner/decision.go
@@ -17,7 +17,11 @@
 	// Dispatch means that the sub-request holds a slot and goes out now.
 	Dispatch struct{}
 	// Queued means that the sub-request waits for a slot.
-	Queued struct{}
+	Queued struct {
+		// Wake is the time at which the server's queue must be looked at
+		// again; zero means that no new wake-up is needed.
+		Wake time.Time
+	}
 	// Refuse means that the sub-request was not taken and did not run.
 	Refuse struct {
 		Reason     fault.Reason
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"hyssophub/config"
+	"hyssophub/event"
 	"hyssophub/fault"
 	"hyssophub/shard"
 	"hyssophub/work"
@@ -38,11 +41,28 @@
 	Linger time.Duration
 	// Poll is the interval between two state requests to a server.
 	Poll time.Duration
+	// Sweep is the interval between two looks at servers with work in
+	// progress, which find overdue replies.
+	Sweep time.Duration
+	// Takeover applies to servers that come without a handover.
+	Takeover Takeover
+	// Publish is called with each change of a server that other hosts must
+	// hear of. It may be nil and must not block.
+	Publish func(event.Event)
 }
 
+const (
+	// sweepInterval keeps the detection of a cold server under 1 s.
+	sweepInterval = 200 * time.Millisecond
+	// reserveTime is the bound of the requests that a failed owner left
+	// behind. It dispatched nothing in the last 0.3 s before the takeover,
+	// and the servers must be in service again within 2 s.
+	reserveTime = 500 * time.Millisecond
+)
+
 // DefaultOptions returns settings for a daemon that owns about 14 servers.
 func DefaultOptions() Options {
-	return Options{Workers: 128, Hold: 10 * time.Millisecond, Linger: time.Millisecond, Poll: time.Second}
+	return Options{Workers: 128, Hold: 10 * time.Millisecond, Linger: time.Millisecond, Poll: time.Second, Sweep: sweepInterval, Takeover: Takeover{Reserve: reserveTime}}
 }
 
 // job is what a worker of the owner does. The interface is sealed.
@@ -56,12 +76,14 @@
 	wakeJob  struct{ server string }
 	flushJob struct{ host string }
 	pollJob  struct{ server config.Placed }
+	sweepJob struct{}
 )
 
 func (dispatchJob) job() {}
 func (wakeJob) job()     {}
 func (flushJob) job()    {}
 func (pollJob) job()     {}
+func (sweepJob) job()    {}
 
 // Engine runs admitted sub-requests on a pool of workers over a Table.
 type Engine struct {
@@ -96,6 +118,7 @@
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.pool = work.NewPool(options.Workers, queueLimit, e.handle)
+	e.later(options.Sweep, shard.Urgent, sweepJob{})
 	return e
 }
 
@@ -109,12 +132,20 @@
 	return f.wait(ctx, e.options.Hold)
 }
 
-// Close stops taking work, lets dispatched sub-requests finish and waits.
+// Close stops taking work, refuses queued sub-requests, lets dispatched ones
+// finish and delivers the results.
 func (e *Engine) Close() {
 	e.mu.Lock()
 	e.closed = true
 	e.mu.Unlock()
+	e.Release(e.table.Names())
 	e.pool.Close()
+	e.mu.Lock()
+	hosts := slices.Collect(maps.Keys(e.outbox))
+	e.mu.Unlock()
+	for _, host := range hosts {
+		e.flush(host)
+	}
 	e.cancel()
 }
 
@@ -134,8 +165,7 @@
 	case Dispatch:
 		e.dispatch(sub, now)
 	case Queued:
-		// Expired sub-requests leave the queue even if no slot gets free.
-		time.AfterFunc(time.Until(sub.Deadline), func() { e.wake(sub.Server) })
+		e.arrange(sub.Server, d.Wake, now)
 	case Refuse:
 		e.forget(sub.ID)
 		e.refuse(f, sub, d, now)
@@ -160,9 +190,16 @@
 	}
 }
 
-func (e *Engine) wake(server string) {
-	// A closed pool has no queued sub-requests left to wake.
-	_ = e.pool.Submit(shard.Urgent, wakeJob{server: server})
+// later queues a job after a time. A closed pool has nothing left to do.
+func (e *Engine) later(after time.Duration, class shard.Class, j job) {
+	time.AfterFunc(after, func() { _ = e.pool.Submit(class, j) })
+}
+
+// arrange schedules a look at a server's queue. A zero time means none.
+func (e *Engine) arrange(server string, at, now time.Time) {
+	if !at.IsZero() {
+		e.later(at.Sub(now), shard.Urgent, wakeJob{server: server})
+	}
 }
 
 func (e *Engine) handle(j job) {
@@ -170,25 +207,23 @@
 	case dispatchJob:
 		e.exchange(j)
 	case wakeJob:
-		ready, settled := e.table.Wake(j.server, time.Now())
-		e.proceed(ready, settled)
+		now := time.Now()
+		e.proceed(j.server, e.table.Wake(j.server, now), now)
 	case flushJob:
 		e.flush(j.host)
 	case pollJob:
 		e.poll(j.server)
+	case sweepJob:
+		e.sweep()
 	}
 }
 
 // exchange performs the last check and the exchange with the server.
 func (e *Engine) exchange(j dispatchJob) {
 	start := time.Now()
-	if reason, ok := e.table.Check(j.sub, start); !ok {
-		e.finish(j.sub, shard.Refused{Reason: reason}, 0)
-		return
-	}
-	placed, ok := e.table.Placed(j.sub.Server)
+	placed, reason, ok := e.table.Check(j.sub, start)
 	if !ok {
-		e.finish(j.sub, shard.Refused{Reason: fault.ReasonNotOwner}, 0)
+		e.finish(j.sub, shard.Refused{Reason: reason, RetryAfter: refusalPause}, 0)
 		return
 	}
 	ctx, cancel := context.WithDeadline(e.ctx, j.sub.Deadline)
@@ -198,19 +233,24 @@
 }
 
 func (e *Engine) finish(sub shard.Sub, outcome shard.Outcome, took time.Duration) {
-	result, ready, settled := e.table.Complete(sub, outcome, took, time.Now())
+	now := time.Now()
+	result, turn := e.table.Complete(sub, outcome, took, now)
 	e.report(result)
-	e.proceed(ready, settled)
+	e.proceed(sub.Server, turn, now)
 }
 
-func (e *Engine) proceed(ready []shard.Sub, settled []Settled) {
-	for _, s := range settled {
+// proceed carries out what follows from a change of a server's record.
+func (e *Engine) proceed(server string, turn Turn, now time.Time) {
+	for _, s := range turn.Settled {
 		e.report(s.Result)
 	}
-	now := time.Now()
-	for _, sub := range ready {
+	for _, sub := range turn.Ready {
 		e.dispatch(sub, now)
 	}
+	e.arrange(server, turn.Wake, now)
+	if turn.Event != nil && e.options.Publish != nil {
+		e.options.Publish(turn.Event)
+	}
 }
 
 // report hands a result to the batch that waits for it or to the outbox.
@@ -241,42 +281,9 @@
 	results := e.outbox[host]
 	delete(e.outbox, host)
 	e.mu.Unlock()
-	// Entry hosts treat results that never arrive as not covered.
-	_ = e.courier.Deliver(e.ctx, host, results)
-}
-
-// Own makes the engine own exactly the given servers and starts to poll the
-// new ones.
-func (e *Engine) Own(placed []config.Placed) {
-	before := e.table.Owned()
-	settled := e.table.Own(placed)
-	e.proceed(nil, settled)
-	known := make(map[string]bool, len(before))
-	for _, p := range before {
-		known[p.Server.Name] = true
-	}
-	for _, p := range placed {
-		if !known[p.Server.Name] {
-			_ = e.pool.Submit(shard.Routine, pollJob{server: p})
-		}
-	}
-}
-
-// poll asks a server for its report and schedules the next poll while the
-// server is owned.
-func (e *Engine) poll(server config.Placed) {
-	if _, ok := e.table.Placed(server.Server.Name); !ok {
+	if len(results) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, e.options.Poll)
-	report, err := e.backend.State(ctx, server)
-	cancel()
-	if err == nil {
-		report.Server = server.Server.Name
-		e.table.Report(report)
-	}
-	time.AfterFunc(e.options.Poll, func() { _ = e.pool.Submit(shard.Routine, pollJob{server: server}) })
+	// Entry hosts treat results that never arrive as not covered.
+	_ = e.courier.Deliver(e.ctx, host, results)
 }
-
-// Catalog returns the catalogs of the owned servers.
-func (e *Engine) Catalog() []shard.Catalog { return e.table.Catalog() }
--- /dev/null
+++ b/owner/queue.go
@@ -0,0 +1,38 @@
+package owner
+
+import (
+	"container/heap"
+
+	"hyssophub/fault"
+	"hyssophub/shard"
+)
+
+type refusal struct {
+	sub    shard.Sub
+	reason fault.Reason
+}
+
+// subQueue orders sub-requests by deadline; it implements heap.Interface.
+type subQueue []*shard.Sub
+
+func (q subQueue) Len() int           { return len(q) }
+func (q subQueue) Less(i, j int) bool { return q[i].Deadline.Before(q[j].Deadline) }
+func (q subQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push appends a *shard.Sub.
+func (q *subQueue) Push(x any) { *q = append(*q, x.(*shard.Sub)) }
+
+// Pop removes the last element.
+func (q *subQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return last
+}
+
+// head returns the sub-request with the earliest deadline.
+func (q subQueue) head() *shard.Sub { return q[0] }
+
+// pop removes and returns the head.
+func (q *subQueue) pop() shard.Sub { return *heap.Pop(q).(*shard.Sub) }
--- /dev/null
+++ b/owner/settle.go
@@ -0,0 +1,181 @@
+package owner
+
+import (
+	"time"
+
+	"hyssophub/event"
+	"hyssophub/fault"
+	"hyssophub/shard"
+)
+
+const (
+	// slowFactor is the multiple of the recent median above which a reply is
+	// slow.
+	slowFactor = 3
+	// slowMin is added to the median where that gives more, so that
+	// scheduling jitter of short requests is not taken for a cold server.
+	slowMin = 5 * time.Millisecond
+	// slowCount is the number of slow replies without a good one that marks a
+	// server as cold.
+	slowCount = 3
+	// slowTime marks a server as cold after fewer slow replies. With the sweep
+	// interval it stays under the target of 1 s.
+	slowTime = 600 * time.Millisecond
+	// judgeCount is the number of replies that make a median meaningful.
+	judgeCount = 8
+)
+
+// settle records the outcome of a dispatched sub-request. The slot gets free
+// only where the outcome proves that the server is done with it. It returns
+// the event that other hosts must hear of, or nil.
+func (s *Server) settle(sub *shard.Sub, outcome shard.Outcome, took, reference time.Duration, now time.Time) event.Event {
+	slot := s.slot(sub.ID)
+	if slot == nil {
+		// The bound has passed; the outcome comes too late to count.
+		slot = &Slot{Epoch: s.Epoch, Sent: now.Add(-took)}
+	}
+	current := slot.Epoch == s.Epoch
+	sent := slot.Sent
+	slot.Sent, slot.Answerless = time.Time{}, true
+	switch o := outcome.(type) {
+	case shard.Answered:
+		s.vacate(sub.ID)
+		if o.Draining {
+			return s.drain(now)
+		}
+		if current {
+			return s.replied(took, reference, now)
+		}
+	case shard.Refused:
+		s.vacate(sub.ID)
+		return s.refused(o.Reason, now)
+	case shard.Failed:
+		if _, ran := o.Verdict.(fault.Ran); ran {
+			s.vacate(sub.ID)
+			return nil
+		}
+		// A silent connection beside others that answer says nothing about
+		// the server.
+		if !current || !s.Good.Before(sent) {
+			return nil
+		}
+		s.Health = Retreat(s.Health)
+		if isSlow(took, reference) {
+			return s.slowed(now)
+		}
+	}
+	return nil
+}
+
+// refused takes over what a refusal proves about the server's state.
+func (s *Server) refused(reason fault.Reason, now time.Time) event.Event {
+	switch reason {
+	case fault.ReasonDraining:
+		return s.drain(now)
+	case fault.ReasonDown:
+		s.restart(Gone{})
+	case fault.ReasonShed:
+		s.Health = Retreat(s.Health)
+	}
+	return nil
+}
+
+// replied takes over the service time of an answer.
+func (s *Server) replied(took, reference time.Duration, now time.Time) event.Event {
+	if isSlow(took, reference) {
+		if _, ramp := progressOf(s.Health); ramp {
+			// The median follows a server that stays slower than before.
+			s.Latency.Add(took)
+			s.Health = Retreat(s.Health)
+		}
+		return s.slowed(now)
+	}
+	s.Latency.Add(took)
+	if !s.Unconfirmed {
+		gap := time.Duration(0)
+		if !s.Good.IsZero() {
+			gap = now.Sub(s.Good)
+		}
+		s.Health = Advance(s.Health, gap, s.Placed.Service.Warmup)
+	}
+	s.Good = now
+	s.Slow = 0
+	return nil
+}
+
+// slowed counts a slow reply.
+func (s *Server) slowed(now time.Time) event.Event {
+	if s.Slow == 0 {
+		s.SlowSince = now
+	}
+	s.Slow++
+	return s.judge(0, now)
+}
+
+// judge returns a server to the start of the ramp when enough replies are slow
+// or overdue without a good one between them.
+func (s *Server) judge(reference time.Duration, now time.Time) event.Event {
+	switch s.Health.(type) {
+	case Cold, Draining, Gone:
+		return nil
+	}
+	evidence, since := s.Slow, s.SlowSince
+	if reference > 0 {
+		for _, b := range s.Busy {
+			if b.Sent.IsZero() || b.Sent.Before(s.Good) || !isSlow(now.Sub(b.Sent), reference) {
+				continue
+			}
+			if evidence == 0 || b.Sent.Before(since) {
+				since = b.Sent
+			}
+			evidence++
+		}
+	}
+	if evidence < slowCount && (evidence == 0 || now.Sub(since) < slowTime) {
+		return nil
+	}
+	s.restart(Cold{})
+	s.Earliest = now.Add(s.limit().Interval)
+	return event.ServerCold{Server: s.Placed.Server.Name}
+}
+
+// restart puts the server into a state from which the ramp begins anew.
+func (s *Server) restart(health Health) {
+	s.Health = health
+	s.Epoch++
+	s.Slow = 0
+	s.Good = time.Time{}
+}
+
+// drain records a signal that the server leaves.
+func (s *Server) drain(now time.Time) event.Event {
+	_, already := s.Health.(Draining)
+	s.Health = Draining{Since: now}
+	if already {
+		return nil
+	}
+	return event.ServerDraining{Server: s.Placed.Server.Name}
+}
+
+// isSlow compares a service time with the recent median. Without a median no
+// reply is slow.
+func isSlow(took, reference time.Duration) bool {
+	return reference > 0 && took > max(slowFactor*reference, reference+slowMin)
+}
+
+// reported takes over the server's own report. It can lag, so it ends a
+// draining state only some time after the last signal.
+func (s *Server) reported(draining bool, now time.Time) event.Event {
+	if draining {
+		return s.drain(now)
+	}
+	switch h := s.Health.(type) {
+	case Gone:
+		s.restart(Cold{})
+	case Draining:
+		if now.Sub(h.Since) > drainHold {
+			s.restart(Cold{})
+		}
+	}
+	return nil
+}
--- a/owner/table.go
+++ b/owner/table.go
@@ -1,11 +1,14 @@
 package owner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"hyssophub/config"
+	"hyssophub/event"
 	"hyssophub/fault"
 	"hyssophub/shard"
 )
@@ -15,43 +18,20 @@
 type Table struct {
 	permit Permit
 
-	mu      sync.Mutex
-	servers map[string]*Server
+	mu       sync.Mutex
+	servers  map[string]*Server
+	replicas map[string][]*Server
+	adopted  map[string]adopted
 }
 
 // NewTable returns an empty table. permit is asked before each dispatch.
 func NewTable(permit Permit) *Table {
-	return &Table{permit: permit, servers: make(map[string]*Server)}
-}
-
-// Own makes the table hold exactly the given servers. Servers that are new
-// start without state, and the queued sub-requests of lost ones are returned
-// as refused.
-func (t *Table) Own(placed []config.Placed) []Settled {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	keep := make(map[string]bool, len(placed))
-	for _, p := range placed {
-		keep[p.Server.Name] = true
-		if s, ok := t.servers[p.Server.Name]; ok {
-			s.Placed = p
-			continue
-		}
-		t.servers[p.Server.Name] = newServer(p)
-	}
-	var settled []Settled
-	for name, s := range t.servers {
-		if keep[name] {
-			continue
-		}
-		for c := range s.Queue {
-			for _, sub := range s.Queue[c] {
-				settled = append(settled, refusedResult(s, sub, fault.ReasonNotOwner, time.Time{}))
-			}
-		}
-		delete(t.servers, name)
+	return &Table{
+		permit:   permit,
+		servers:  make(map[string]*Server),
+		replicas: make(map[string][]*Server),
+		adopted:  make(map[string]adopted),
 	}
-	return settled
 }
 
 // Admit decides on a sub-request.
@@ -65,26 +45,33 @@
 	if reason, ok := t.permit(sub.Server, now); !ok {
 		return Refuse{Reason: reason}
 	}
-	return s.admit(sub, now)
+	return s.admit(&sub, now)
 }
 
-// Check is the last check before the first byte of a dispatch. On failure the
-// slot is given back and the sub-request did not run.
-func (t *Table) Check(sub shard.Sub, now time.Time) (fault.Reason, bool) {
+// Check is the last check before the first byte of a dispatch. It returns the
+// server's place in the manifest. On failure the slot is given back and the
+// sub-request did not run.
+func (t *Table) Check(sub shard.Sub, now time.Time) (config.Placed, fault.Reason, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.servers[sub.Server]
 	if !ok {
-		return fault.ReasonNotOwner, false
+		return config.Placed{}, fault.ReasonNotOwner, false
 	}
 	reason, ok := t.permit(sub.Server, now)
 	if ok {
-		reason, ok = s.admissible(sub, now)
+		reason, ok = s.admissible(&sub, now)
+	}
+	slot := s.slot(sub.ID)
+	if ok && (slot == nil || slot.Epoch != s.Epoch) {
+		reason, ok = fault.ReasonCold, false
 	}
 	if !ok {
-		delete(s.Busy, sub.ID)
+		s.vacate(sub.ID)
+		return config.Placed{}, reason, false
 	}
-	return reason, ok
+	slot.Sent = now
+	return s.Placed, "", true
 }
 
 // Settled is the end of a sub-request at the owner.
@@ -93,59 +80,147 @@
 	Result shard.Result
 }
 
-// Complete records the outcome of a dispatched sub-request. It returns its
-// result, the sub-requests that got a slot, and those that were refused on
-// leaving the queue.
-func (t *Table) Complete(sub shard.Sub, outcome shard.Outcome, took time.Duration, now time.Time) (shard.Result, []shard.Sub, []Settled) {
+// Turn is what follows from a change of a server's record.
+type Turn struct {
+	// Ready are the sub-requests that got a slot.
+	Ready []shard.Sub
+	// Settled are those that were refused on leaving the queue.
+	Settled []Settled
+	// Wake is the time of the next look at the queue, or zero.
+	Wake time.Time
+	// Event is what other hosts must hear of, or nil.
+	Event event.Event
+}
+
+// Complete records the outcome of a dispatched sub-request and returns its
+// result and what follows.
+func (t *Table) Complete(sub shard.Sub, outcome shard.Outcome, took time.Duration, now time.Time) (shard.Result, Turn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	result := shard.Result{Sub: sub.ID, Server: sub.Server, Outcome: outcome, Took: took}
 	s, ok := t.servers[sub.Server]
 	if !ok {
-		return result, nil, nil
+		result.Figures.Server = sub.Server
+		return result, Turn{}
 	}
-	s.settle(sub, outcome, took)
-	ready, settled := t.release(s, now)
+	happened := s.settle(&sub, outcome, took, t.reference(s), now)
+	turn := s.turn(now, happened)
 	result.Figures = s.figures(now)
-	return result, ready, settled
+	return result, turn
 }
 
 // Wake returns the queued sub-requests of a server that can go out now.
-func (t *Table) Wake(server string, now time.Time) ([]shard.Sub, []Settled) {
+func (t *Table) Wake(server string, now time.Time) Turn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.servers[server]
 	if !ok {
-		return nil, nil
+		return Turn{}
+	}
+	return s.turn(now, s.judge(t.reference(s), now))
+}
+
+// Sweep returns the servers with requests in progress or waiting. They need a
+// look by Wake, because a server that never answers causes no other call.
+func (t *Table) Sweep() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, s := range t.servers {
+		if len(s.Busy) > 0 || s.waiting(shard.Routine) > 0 {
+			names = append(names, name)
+		}
 	}
-	return t.release(s, now)
+	return names
 }
 
-func (t *Table) release(s *Server, now time.Time) ([]shard.Sub, []Settled) {
-	ready, refused := s.next(now)
-	settled := make([]Settled, 0, len(refused))
+// turn gives free slots to the queue.
+func (s *Server) turn(now time.Time, happened event.Event) Turn {
+	turn := Turn{Event: happened}
+	var refused []refusal
+	turn.Ready, refused = s.next(now)
 	for _, r := range refused {
-		settled = append(settled, refusedResult(s, r.sub, r.reason, now))
+		turn.Settled = append(turn.Settled, refusedResult(s, r.sub, r.reason, now))
+	}
+	turn.Wake = s.alarm(now)
+	return turn
+}
+
+// reference returns the service time that a server is judged by: its own
+// recent median, or the mean of its replicas' while it has too few replies.
+func (t *Table) reference(s *Server) time.Duration {
+	if s.Latency.Count() >= judgeCount {
+		return s.Latency.Median()
+	}
+	var sum time.Duration
+	n := 0
+	for _, r := range t.replicas[s.Placed.Service.Name] {
+		if r != s && r.Latency.Count() >= judgeCount {
+			sum += r.Latency.Median()
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+func (t *Table) unlink(s *Server) {
+	name := s.Placed.Service.Name
+	t.replicas[name] = slices.DeleteFunc(t.replicas[name], func(r *Server) bool { return r == s })
+	if len(t.replicas[name]) == 0 {
+		delete(t.replicas, name)
 	}
-	return ready, settled
 }
 
-// Report takes over a server's own report and returns true if the server began
-// to drain with it.
-func (t *Table) Report(report shard.Report) bool {
+// Report takes over a server's own report.
+func (t *Table) Report(report shard.Report, now time.Time) Turn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.servers[report.Server]
 	if !ok {
-		return false
+		return Turn{}
 	}
 	if !slices.EqualFunc(s.Held, report.Held, heldEqual) {
 		s.Held = report.Held
 		s.Stamp++
 	}
-	began := report.Draining && !s.Draining
-	s.Draining = report.Draining
-	return began
+	return s.turn(now, s.reported(report.Draining, now))
+}
+
+// Drain records a signal from elsewhere that a server leaves, such as a
+// peer's event or the host list.
+func (t *Table) Drain(server string, now time.Time) Turn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[server]
+	if !ok {
+		return Turn{}
+	}
+	return s.turn(now, s.drain(now))
+}
+
+// Down records that a server refused a connection.
+func (t *Table) Down(server string, now time.Time) Turn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[server]
+	if !ok {
+		return Turn{}
+	}
+	return s.turn(now, s.refused(fault.ReasonDown, now))
+}
+
+// Health returns the state of a server, and false if it is not owned.
+func (t *Table) Health(server string) (Health, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[server]
+	if !ok {
+		return nil, false
+	}
+	return s.Health, true
 }
 
 // Catalog returns the catalogs of all owned servers.
@@ -183,39 +258,22 @@
 	for _, s := range t.servers {
 		list = append(list, s.Placed)
 	}
-	slices.SortFunc(list, func(a, b config.Placed) int {
-		if a.Server.Name < b.Server.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b config.Placed) int { return cmp.Compare(a.Server.Name, b.Server.Name) })
 	return list
 }
 
-// settle frees the slot of a finished sub-request where the outcome proves
-// that the server is done with it, and records its service time.
-func (s *Server) settle(sub shard.Sub, outcome shard.Outcome, took time.Duration) {
-	switch o := outcome.(type) {
-	case shard.Answered:
-		delete(s.Busy, sub.ID)
-		s.Latency.Add(took)
-	case shard.Refused:
-		delete(s.Busy, sub.ID)
-		if o.Reason == fault.ReasonDraining {
-			s.Draining = true
-		}
-	case shard.Failed:
-		if _, ran := o.Verdict.(fault.Ran); ran {
-			delete(s.Busy, sub.ID)
-		}
-	}
+// Names returns the names of the servers that the table holds, sorted.
+func (t *Table) Names() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.servers))
 }
 
 func refusedResult(s *Server, sub shard.Sub, reason fault.Reason, now time.Time) Settled {
 	return Settled{Sub: sub, Result: shard.Result{
 		Sub:     sub.ID,
 		Server:  sub.Server,
-		Outcome: shard.Refused{Reason: reason},
+		Outcome: shard.Refused{Reason: reason, RetryAfter: s.pause()},
 		Figures: s.figures(now),
 	}}
 }
--- a/owner/window.go
+++ b/owner/window.go
@@ -9,23 +9,37 @@
 // small, so that figures follow a change within a few replies.
 const windowSize = 32
 
-// Window keeps the most recent service times of a server.
+// Window keeps the most recent service times of a server, also in sorted
+// order, because a sort on every reply costs more than the rest of a decision.
 type Window struct {
 	samples [windowSize]time.Duration
+	sorted  [windowSize]time.Duration
 	count   int
 	next    int
-	sorted  [windowSize]time.Duration
-	stale   bool
 }
 
 // Add records a service time.
 func (w *Window) Add(took time.Duration) {
+	if w.count == windowSize {
+		w.remove(w.samples[w.next])
+	}
 	w.samples[w.next] = took
 	w.next = (w.next + 1) % windowSize
-	w.count = min(w.count+1, windowSize)
-	w.stale = true
+	i, _ := slices.BinarySearch(w.sorted[:w.count], took)
+	copy(w.sorted[i+1:w.count+1], w.sorted[i:w.count])
+	w.sorted[i] = took
+	w.count++
 }
 
+func (w *Window) remove(took time.Duration) {
+	i, _ := slices.BinarySearch(w.sorted[:w.count], took)
+	copy(w.sorted[i:w.count-1], w.sorted[i+1:w.count])
+	w.count--
+}
+
+// Count returns the number of recorded service times.
+func (w *Window) Count() int { return w.count }
+
 // Median returns the recent median, or zero without samples.
 func (w *Window) Median() time.Duration { return w.quantile(1, 2) }
 
@@ -36,10 +50,5 @@
 	if w.count == 0 {
 		return 0
 	}
-	if w.stale {
-		copy(w.sorted[:w.count], w.samples[:w.count])
-		slices.Sort(w.sorted[:w.count])
-		w.stale = false
-	}
 	return w.sorted[min(w.count-1, w.count*num/den)]
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -92,6 +92,8 @@
 		Parts []Part
 		// Receipt is the backend server's record of a write.
 		Receipt string
+		// Draining means that the reply announced that the server leaves.
+		Draining bool
 	}
 	// Refused means that the sub-request did not run.
 	Refused struct {
