Model cold starts, silent connections and limits in the fake server

Cause: the stand-in knew only draining and shedding, so the owner's ramp and the dialer's fault detection had nothing to be tested against. Change: the fake bears a floor rate that rises under load, slows down or falls over above it, counts breaches of rate, slots and connections, and can be made silent, slow, misleading or cold at run time. Index versions can be swapped.

--- /dev/null
+++ b/fakes/faults.go
@@ -0,0 +1,38 @@
+package fakes
+
+import "time"
+
+// Drain makes the server refuse new work and say so.
+func (s *Server) Drain() { s.set(func() { s.draining = true }) }
+
+// Mislead makes the state endpoint deny that the server drains.
+func (s *Server) Mislead(misled bool) { s.set(func() { s.misled = misled }) }
+
+// Shed makes the server refuse all work.
+func (s *Server) Shed(shedding bool) { s.set(func() { s.shedding = shedding }) }
+
+// Slow delays whatever arrives on any connection.
+func (s *Server) Slow(delay time.Duration) { s.listener.slow(delay) }
+
+// TurnCold makes the server cold without any sign on its endpoints. It needs
+// the option Floor.
+func (s *Server) TurnCold() { s.set(func() { s.cold = newCold(s.options) }) }
+
+// Warm ends the cold start.
+func (s *Server) Warm() { s.set(func() { s.cold.warmth = 1 }) }
+
+// Swap replaces the index versions and their partition maps.
+func (s *Server) Swap(indexes []Index) { s.set(func() { s.indexes = indexes }) }
+
+// Silence makes every nth open connection silent for good and returns their
+// number. New connections work.
+func (s *Server) Silence(nth int) int { return s.listener.silence(nth) }
+
+// CloseIdle closes all open connections, as a server does with idle ones.
+func (s *Server) CloseIdle() { s.listener.closeAll() }
+
+func (s *Server) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
--- /dev/null
+++ b/fakes/listener.go
@@ -0,0 +1,164 @@
+package fakes
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// listener wraps accepted connections, so that they cost time, are counted and
+// can go silent.
+type listener struct {
+	net.Listener
+	limit int
+	cost  time.Duration
+
+	mu       sync.Mutex
+	open     []*conn
+	opened   int
+	breaches int
+	delay    time.Duration
+}
+
+func newListener(inner net.Listener, limit int, cost time.Duration) *listener {
+	return &listener{Listener: inner, limit: limit, cost: cost}
+}
+
+// Accept closes connections above the limit and counts them.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(inner); c != nil {
+			return c, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+func (l *listener) admit(inner net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit > 0 && len(l.open) >= l.limit {
+		l.breaches++
+		return nil
+	}
+	c := &conn{Conn: inner, listener: l, ended: make(chan struct{}), silenced: make(chan struct{})}
+	l.open = append(l.open, c)
+	l.opened++
+	return c
+}
+
+func (l *listener) counts() (open, opened, breaches int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open), l.opened, l.breaches
+}
+
+func (l *listener) silence(nth int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := 0; i < len(l.open); i += nth {
+		l.open[i].mute.Do(func() { close(l.open[i].silenced) })
+		n++
+	}
+	return n
+}
+
+func (l *listener) slow(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+func (l *listener) closeAll() {
+	l.mu.Lock()
+	open := l.open
+	l.open = nil
+	l.mu.Unlock()
+	for _, c := range open {
+		_ = c.Conn.Close()
+	}
+}
+
+func (l *listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, o := range l.open {
+		if o == c {
+			l.open = append(l.open[:i:i], l.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func (l *listener) latency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
+
+// silentHold is how long a silent connection stays open on the server's side
+// after its caller closed it.
+const silentHold = 250 * time.Millisecond
+
+// conn is an accepted connection. A silent one swallows what it receives and
+// what the server writes.
+type conn struct {
+	net.Conn
+	listener *listener
+	begin    sync.Once
+	mute     sync.Once
+	silenced chan struct{}
+	once     sync.Once
+	ended    chan struct{}
+}
+
+// Read reads from the network, but returns nothing on a silent connection.
+func (c *conn) Read(b []byte) (int, error) {
+	c.begin.Do(func() { time.Sleep(c.listener.cost) })
+	n, err := c.Conn.Read(b)
+	if delay := c.listener.latency(); delay > 0 && n > 0 {
+		time.Sleep(delay)
+	}
+	if !c.silent() {
+		return n, err
+	}
+	for err == nil {
+		_, err = c.Conn.Read(b)
+	}
+	select {
+	case <-c.ended:
+	case <-time.After(silentHold):
+	}
+	return 0, err
+}
+
+// Write writes to the network unless the connection is silent.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.ended)
+		c.listener.forget(c)
+	})
+	return c.Conn.Close()
+}
+
+func (c *conn) silent() bool {
+	select {
+	case <-c.silenced:
+		return true
+	default:
+		return false
+	}
+}
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -32,58 +32,90 @@
 	// Service is the time that a request takes on a warm server.
 	Service time.Duration
 	Indexes []Index
+	// Floor is the number of requests a second that the cold server bears.
+	// Zero means that the server is never cold.
+	Floor int
+	// Warmup is the time under load until the server is warm.
+	Warmup time.Duration
+	// Connections is the connection limit; zero means none.
+	Connections int
+	// Connect is the time that a new connection costs.
+	Connect time.Duration
+	// FallOver is the number of breaches after which a cold server refuses
+	// all work for a second; zero means that it only slows down.
+	FallOver int
 }
 
 // Server is a stand-in backend server.
 type Server struct {
 	options  ServerOptions
-	listener net.Listener
+	listener *listener
 	http     *http.Server
 	serving  sync.WaitGroup
 
 	mu       sync.Mutex
+	cold     cold
 	busy     int
-	peak     int
-	handled  int
+	counts   Counts
 	draining bool
+	misled   bool
+	shedding bool
 	indexes  []Index
 	writes   map[string]int
 }
 
+// Counts are what a Server has seen.
+type Counts struct {
+	// Seen counts the search requests that arrived, Handled those that ran
+	// and Cancelled those whose caller went away.
+	Seen, Handled, Cancelled int
+	// Peak is the largest number of requests in progress.
+	Peak int
+	// RateBreaches, SlotBreaches and ConnectionBreaches count the requests
+	// and connections above what the server bears.
+	RateBreaches, SlotBreaches, ConnectionBreaches int
+	// Connections is the number of open connections, Opened of all so far.
+	Connections, Opened int
+}
+
 // NewServer starts a backend server. An empty address takes a free port on
 // loopback.
 func NewServer(options ServerOptions) (*Server, error) {
 	if options.Address == "" {
 		options.Address = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", options.Address)
+	inner, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: options, listener: listener, indexes: options.Indexes, writes: make(map[string]int)}
+	s := &Server{
+		options:  options,
+		listener: newListener(inner, options.Connections, options.Connect),
+		cold:     newCold(options),
+		indexes:  options.Indexes,
+		writes:   make(map[string]int),
+	}
 	router := chi.NewRouter()
 	router.Post("/v1/search", s.search)
 	router.Get("/v1/state", s.state)
 	s.http = &http.Server{Handler: router, ReadHeaderTimeout: time.Minute}
-	s.serving.Go(func() { _ = s.http.Serve(listener) })
+	s.serving.Go(func() { _ = s.http.Serve(s.listener) })
 	return s, nil
 }
 
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Drain makes the server refuse new work.
-func (s *Server) Drain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-}
-
 // Handled returns the number of requests that ran.
-func (s *Server) Handled() int {
+func (s *Server) Handled() int { return s.Counts().Handled }
+
+// Counts returns what the server has seen so far.
+func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.handled
+	counts := s.counts
+	counts.Connections, counts.Opened, counts.ConnectionBreaches = s.listener.counts()
+	return counts
 }
 
 // Close stops the server at once and waits.
@@ -138,16 +170,25 @@
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
 	}
-	index, status := s.enter(request.Version)
-	if status != http.StatusOK {
-		if status == http.StatusServiceUnavailable && s.isDraining() {
-			w.Header().Set("Draining", "true")
-		}
-		w.WriteHeader(status)
+	entered := s.enter(request.Version, time.Now())
+	if entered.draining {
+		w.Header().Set("Draining", "true")
+	}
+	if entered.status != http.StatusOK {
+		w.Header().Set("Retry-After-Ms", "100")
+		w.WriteHeader(entered.status)
 		return
 	}
 	defer s.leave()
-	if !sleep(r.Context(), s.options.Service) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if left, err := strconv.Atoi(r.Header.Get("Time-Left-Ms")); err == nil {
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(left)*time.Millisecond)
+		defer cancel()
+	}
+	if !sleep(ctx, entered.takes) {
+		s.cancelled()
+		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
 	answer := wireAnswer{ID: request.ID}
@@ -155,8 +196,12 @@
 		answer.Receipt = s.run(request.Key)
 	}
 	for _, name := range request.Shards {
-		if slices.Contains(index.Shards, name) {
-			answer.Parts = append(answer.Parts, wirePart{Version: index.Version, Shard: name, Hits: hits(name, request.Text, request.Limit)})
+		if slices.Contains(entered.index.Shards, name) {
+			answer.Parts = append(answer.Parts, wirePart{
+				Version: entered.index.Version,
+				Shard:   name,
+				Hits:    hits(name, request.Text, request.Limit),
+			})
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -165,7 +210,7 @@
 
 func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	state := wireState{Draining: s.draining}
+	state := wireState{Draining: s.draining && !s.misled}
 	for _, i := range s.indexes {
 		state.Held = append(state.Held, wireHeld(i))
 	}
@@ -174,22 +219,41 @@
 	_ = json.NewEncoder(w).Encode(state)
 }
 
+// admission is what the server does with a request.
+type admission struct {
+	index    Index
+	status   int
+	draining bool
+	takes    time.Duration
+}
+
 // enter takes a slot. A server sheds load above twice its slots.
-func (s *Server) enter(version uint64) (Index, int) {
+func (s *Server) enter(version uint64, now time.Time) admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.busy >= 2*s.options.Slots {
-		return Index{}, http.StatusServiceUnavailable
+	s.counts.Seen++
+	e := admission{status: http.StatusServiceUnavailable, draining: s.draining}
+	if s.draining || s.shedding || s.busy >= 2*s.options.Slots || now.Before(s.cold.fallen) {
+		return e
 	}
-	for _, i := range s.indexes {
-		if i.Version == version {
-			s.busy++
-			s.peak = max(s.peak, s.busy)
-			s.handled++
-			return i, http.StatusOK
-		}
+	i := slices.IndexFunc(s.indexes, func(i Index) bool { return i.Version == version })
+	if i < 0 {
+		e.status = http.StatusConflict
+		return e
+	}
+	factor, breach := s.cold.arrive(now)
+	if breach {
+		s.counts.RateBreaches++
+	}
+	s.busy++
+	if s.busy > s.options.Slots {
+		s.counts.SlotBreaches++
 	}
-	return Index{}, http.StatusConflict
+	s.counts.Peak = max(s.counts.Peak, s.busy)
+	s.counts.Handled++
+	e.index, e.status = s.indexes[i], http.StatusOK
+	e.takes = time.Duration(factor * float64(s.options.Service))
+	return e
 }
 
 func (s *Server) leave() {
@@ -198,10 +262,10 @@
 	s.busy--
 }
 
-func (s *Server) isDraining() bool {
+func (s *Server) cancelled() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	s.counts.Cancelled++
 }
 
 // run records a write and returns its receipt.
