Tell silent, slow and refusing servers apart and pool the request parts

Cause: a silent connection cost the whole deadline, a stale idle connection failed a request as possibly run, the connection limit was not kept, and an answer to another request counted as a run. Change: the pool keeps the limit less headroom, checks idle connections for a close before use, probes over a new connection, replaces silent idle connections, and counts lost ones until their bound. NotRun needs proof that no byte was written. The request is composed in reused buffers; net/http still parses the response and encoding/json the body. Conclusion: the owner tells the dialer which servers it still owns.

--- a/dial/client.go
+++ b/dial/client.go
@@ -1,13 +1,10 @@
 package dial
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync"
 	"syscall"
@@ -18,8 +15,12 @@
 	"hyssophub/shard"
 )
 
-// maxBody bounds the answer of a backend server, in bytes.
-const maxBody = 4 << 20
+// attempts bounds the connections that are tried for one request. A further
+// one is used only while not a byte was written.
+const attempts = 3
+
+// stateTime bounds a state request whose context has no deadline.
+const stateTime = time.Second
 
 // Client performs exchanges with backend servers. It implements
 // owner.Backend.
@@ -27,158 +28,295 @@
 	mu     sync.Mutex
 	pools  map[string]*Pool
 	closed bool
+	probes sync.WaitGroup
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{pools: make(map[string]*Pool)} }
 
-// Do sends a sub-request and returns its outcome.
+// Do sends a sub-request and returns its outcome. Refused is returned only
+// with proof that the request did not run: not a byte was written, or the
+// server said so.
 func (c *Client) Do(ctx context.Context, server config.Placed, sub shard.Sub) shard.Outcome {
-	body, err := json.Marshal(encodeSearch(&sub))
-	if err != nil {
+	s := scratches.Get().(*scratch)
+	defer s.free()
+	s.body.Reset()
+	s.search.fill(&sub)
+	if err := s.encoder.Encode(&s.search); err != nil {
 		return shard.Refused{Reason: fault.ReasonInternal}
 	}
-	request := &http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: server.Server.Address, Path: pathSearch},
-		Host:          server.Server.Address,
-		Header:        http.Header{headerLeft: {strconv.FormatInt(time.Until(sub.Deadline).Milliseconds(), 10)}},
-		Body:          io.NopCloser(bytes.NewReader(body)),
-		ContentLength: int64(len(body)),
+	e := exchange{
+		pool:     c.pool(server),
+		scratch:  s,
+		request:  postRequest,
+		deadline: earliest(ctx, sub.Deadline),
+		patient:  sub.Write,
 	}
-	response, failure := c.exchange(ctx, server, request)
+	left := time.Until(e.deadline)
+	if left <= 0 {
+		return shard.Refused{Reason: fault.ReasonDeadline}
+	}
+	s.compose(http.MethodPost, pathSearch, server.Server.Address, left)
+	var outcome shard.Outcome
+	failure := e.run(ctx, func(r reply) bool {
+		var sound bool
+		outcome, sound = decodeSearch(r, sub.ID)
+		return sound
+	})
 	if failure != nil {
 		return failure
 	}
-	return decodeSearch(response, sub.ID)
+	return outcome
 }
 
 // State asks a server for its report.
 func (c *Client) State(ctx context.Context, server config.Placed) (shard.Report, error) {
-	request := &http.Request{
-		Method: http.MethodGet,
-		URL:    &url.URL{Scheme: "http", Host: server.Server.Address, Path: pathState},
-		Host:   server.Server.Address,
-		Header: http.Header{},
+	s := scratches.Get().(*scratch)
+	defer s.free()
+	s.body.Reset()
+	e := exchange{pool: c.pool(server), scratch: s, request: getRequest, deadline: earliest(ctx, time.Now().Add(stateTime)), patient: true}
+	s.compose(http.MethodGet, pathState, server.Server.Address, time.Until(e.deadline))
+	var (
+		report shard.Report
+		err    error
+	)
+	failure := e.run(ctx, func(r reply) bool {
+		report, err = decodeReport(r, server.Server.Name)
+		return err == nil
+	})
+	switch f := failure.(type) {
+	case shard.Refused:
+		return shard.Report{}, fault.New(fault.NotRun{}, f.Reason, "no state of server %s", server.Server.Name)
+	case shard.Failed:
+		return shard.Report{}, fault.New(f.Verdict, f.Reason, "no state of server %s", server.Server.Name)
 	}
-	response, failure := c.exchange(ctx, server, request)
-	if failure != nil {
-		return shard.Report{}, fault.New(fault.NotRun{}, fault.ReasonConnection, "no state of server %s", server.Server.Name)
-	}
-	if response.status != http.StatusOK {
-		return shard.Report{}, fault.New(fault.NotRun{}, fault.ReasonInternal, "server %s answers %d", server.Server.Name, response.status)
+	return report, err
+}
+
+func decodeReport(r reply, server string) (shard.Report, error) {
+	if r.status != http.StatusOK {
+		return shard.Report{}, fault.New(fault.NotRun{}, fault.ReasonInternal, "server %s answers %d", server, r.status)
 	}
 	var w wireState
-	if err := json.Unmarshal(response.body, &w); err != nil {
-		return shard.Report{}, fault.New(fault.NotRun{}, fault.ReasonTruncated, "server %s: %w", server.Server.Name, err)
+	if err := json.Unmarshal(r.body, &w); err != nil {
+		return shard.Report{}, fault.New(fault.NotRun{}, fault.ReasonTruncated, "server %s: %w", server, err)
 	}
 	return decodeState(w), nil
 }
 
-// Close closes all connections.
-func (c *Client) Close() {
+// Retain closes the connections to all but the given servers. Exchanges in
+// progress end as usual.
+func (c *Client) Retain(placed []config.Placed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	keep := make(map[string]*config.Service, len(placed))
+	for _, p := range placed {
+		keep[p.Server.Address] = p.Service
+	}
+	for address, p := range c.pools {
+		if service, ok := keep[address]; ok {
+			p.Limit(service.Connections)
+			continue
+		}
+		p.Close()
+		delete(c.pools, address)
+	}
+}
+
+// Close closes all connections and waits for probes. Connections of exchanges
+// in progress close when these end.
+func (c *Client) Close() {
+	c.mu.Lock()
 	c.closed = true
 	for _, p := range c.pools {
 		p.Close()
 	}
+	c.mu.Unlock()
+	c.probes.Wait()
 }
 
-func (c *Client) pool(address string) *Pool {
+func (c *Client) pool(server config.Placed) *Pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.pools[address]
+	p, ok := c.pools[server.Server.Address]
 	if !ok {
-		p = newPool(address)
+		p = newPool(server, &c.probes)
 		p.closed = c.closed
-		c.pools[address] = p
+		c.pools[server.Server.Address] = p
 	}
 	return p
 }
 
-// reply is a complete response of a backend server.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
+// exchange is one request and its response.
+type exchange struct {
+	pool     *Pool
+	scratch  *scratch
+	request  *http.Request
+	deadline time.Time
+	// patient exchanges wait until the deadline even on a connection that
+	// seems silent, because the outcome of a write must not be given up.
+	patient bool
 }
 
-// exchange performs one request on one connection. The returned outcome is nil
-// on success.
-func (c *Client) exchange(ctx context.Context, server config.Placed, request *http.Request) (reply, shard.Outcome) {
-	pool := c.pool(server.Server.Address)
-	conn, err := pool.take(ctx)
-	if err != nil {
-		return reply{}, shard.Refused{Reason: dialReason(err)}
+// run performs the exchange. take converts the reply and reports whether the
+// connection may be used again. The returned outcome is nil on success.
+func (e *exchange) run(ctx context.Context, take func(reply) bool) shard.Outcome {
+	for range attempts {
+		conn, err := e.pool.take(ctx)
+		if err != nil {
+			return shard.Refused{Reason: dialReason(err)}
+		}
+		start := time.Now()
+		r, verdict, err := e.over(ctx, conn, start)
+		if err == nil {
+			e.pool.note(time.Since(start), time.Now())
+			if take(r) && r.reusable {
+				e.pool.put(conn)
+			} else {
+				e.pool.drop(conn)
+			}
+			return nil
+		}
+		reason := e.discard(ctx, conn, err)
+		if _, unsent := verdict.(fault.NotRun); !unsent {
+			return shard.Failed{Verdict: verdict, Reason: reason}
+		}
 	}
+	return shard.Refused{Reason: fault.ReasonConnection}
+}
+
+// over performs the exchange over one connection.
+func (e *exchange) over(ctx context.Context, conn *connection, start time.Time) (reply, fault.Verdict, error) {
 	// Closing the connection on cancellation tells the server to stop.
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
-	r, verdict, err := roundTrip(conn, request)
-	if !stop() {
-		pool.drop(conn)
-		return reply{}, shard.Failed{Verdict: verdict, Reason: fault.ReasonDeadline}
+	defer stop()
+	if err := conn.conn.SetDeadline(e.deadline); err != nil {
+		return reply{}, fault.NotRun{}, err
 	}
-	if err != nil {
-		pool.drop(conn)
-		if _, ok := verdict.(fault.NotRun); ok {
-			return reply{}, shard.Refused{Reason: fault.ReasonConnection}
-		}
-		return reply{}, shard.Failed{Verdict: verdict, Reason: fault.ReasonConnection}
+	if verdict, err := e.scratch.send(conn); err != nil {
+		return reply{}, verdict, err
 	}
-	pool.put(conn)
-	return r, nil
-}
-
-// roundTrip writes the request and reads the whole response. The verdict is
-// MayHaveRun once a byte may have left this process.
-func roundTrip(c *connection, request *http.Request) (reply, fault.Verdict, error) {
-	if err := request.Write(c.writer); err != nil {
+	if err := e.first(ctx, conn, start); err != nil {
 		return reply{}, fault.MayHaveRun{}, err
 	}
-	if err := c.writer.Flush(); err != nil {
+	if err := conn.conn.SetReadDeadline(e.deadline); err != nil {
 		return reply{}, fault.MayHaveRun{}, err
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	r, err := e.scratch.receive(conn, e.request)
 	if err != nil {
-		return reply{}, fault.MayHaveRun{}, err
+		return r, verdictOf(r), err
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
-	if err != nil {
-		return reply{}, fault.MayHaveRun{}, err
+	if !stop() {
+		// The connection is closed or about to be.
+		r.reusable = false
+	}
+	return r, fault.Ran{}, nil
+}
+
+// verdictOf returns what the head of an incomplete reply proves.
+func verdictOf(r reply) fault.Verdict {
+	if r.status == http.StatusOK {
+		return fault.Ran{}
+	}
+	return fault.MayHaveRun{}
+}
+
+// first waits for the first byte of the response. When it takes long, the
+// server is probed to tell a silent connection from a slow server.
+func (e *exchange) first(ctx context.Context, conn *connection, start time.Time) error {
+	wait := e.pool.patient()
+	until := start.Add(wait)
+	if !until.Before(e.deadline) {
+		return await(conn, e.deadline)
 	}
-	if len(body) > maxBody || response.Close {
-		return reply{}, fault.MayHaveRun{}, errors.New("dial: answer too large or connection closed by the server")
+	err := await(conn, until)
+	if !isTimeout(err) {
+		return err
+	}
+	switch e.pool.inspect().wait(ctx).(type) {
+	case Silent:
+		if e.patient {
+			break
+		}
+		// Without an answer on any other connection since then, the server
+		// could answer its state fast and its requests slowly.
+		limit := time.Now().Add(lateAnswer)
+		if !e.pool.answeredSince(start) {
+			limit = start.Add(2 * wait)
+		}
+		if !limit.Before(e.deadline) {
+			break
+		}
+		if err := await(conn, limit); !isTimeout(err) {
+			return err
+		}
+		return errSilent
+	case Down:
+		return syscall.ECONNREFUSED
+	case Slow:
+	}
+	return await(conn, e.deadline)
+}
+
+// discard closes the connection of a failed exchange and returns the reason.
+func (e *exchange) discard(ctx context.Context, conn *connection, err error) fault.Reason {
+	bound := e.deadline.Add(silentGrace)
+	switch {
+	case errors.Is(err, errSilent):
+		e.pool.lose(conn, bound)
+		return fault.ReasonSilent
+	case errors.Is(err, syscall.ECONNREFUSED):
+		e.pool.drop(conn)
+		return fault.ReasonDown
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.pool.drop(conn)
+		return fault.ReasonStopping
+	case ctx.Err() != nil || isTimeout(err):
+		e.pool.lose(conn, bound)
+		e.pool.inspect()
+		return fault.ReasonDeadline
+	case errors.Is(err, errTooLarge) || errors.Is(err, errNoLength) || isShort(err):
+		e.pool.drop(conn)
+		return fault.ReasonTruncated
+	default:
+		e.pool.drop(conn)
+		return fault.ReasonConnection
 	}
-	return reply{status: response.StatusCode, header: response.Header, body: body}, fault.Ran{}, nil
 }
 
-// decodeSearch converts a server's response to a sub-request. The request id
-// in the body guards against an answer to another request.
-func decodeSearch(r reply, id uint64) shard.Outcome {
+// decodeSearch converts a server's response to a sub-request, and reports
+// whether the connection may be used again. The request id in the body guards
+// against an answer to another request, which proves nothing about this one.
+func decodeSearch(r reply, id uint64) (shard.Outcome, bool) {
 	switch r.status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
 		if r.header.Get(headerDraining) != "" {
-			return shard.Refused{Reason: fault.ReasonDraining}
+			return shard.Refused{Reason: fault.ReasonDraining}, true
 		}
-		return shard.Refused{Reason: fault.ReasonShed, RetryAfter: after(r.header)}
+		return shard.Refused{Reason: fault.ReasonShed, RetryAfter: after(r.header)}, true
 	case http.StatusConflict:
-		return shard.Refused{Reason: fault.ReasonVersion}
+		return shard.Refused{Reason: fault.ReasonVersion}, true
+	case http.StatusGatewayTimeout:
+		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}, true
 	default:
-		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonInternal}
+		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonInternal}, true
 	}
 	var w wireAnswer
-	if err := json.Unmarshal(r.body, &w); err != nil || w.ID != id {
-		return shard.Failed{Verdict: fault.Ran{}, Reason: fault.ReasonTruncated}
+	if err := json.Unmarshal(r.body, &w); err != nil {
+		return shard.Failed{Verdict: fault.Ran{}, Reason: fault.ReasonTruncated}, false
+	}
+	if w.ID != id {
+		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonTruncated}, false
 	}
-	return decodeAnswer(w)
+	answered := decodeAnswer(w)
+	answered.Draining = r.header.Get(headerDraining) != ""
+	return answered, true
 }
 
 func after(header http.Header) time.Duration {
 	ms, err := strconv.ParseInt(header.Get(headerAfter), 10, 64)
-	if err != nil {
+	if err != nil || ms < 0 || ms > maxAfter.Milliseconds() {
 		return 0
 	}
 	return time.Duration(ms) * time.Millisecond
--- /dev/null
+++ b/dial/connection.go
@@ -0,0 +1,44 @@
+package dial
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+)
+
+// bufferSize of a connection's reader, in bytes.
+const bufferSize = 8 << 10
+
+// connection is an open connection to a backend server.
+type connection struct {
+	conn   net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	// peek and its results are fields, so that a check allocates nothing.
+	peek  func(fd uintptr) bool
+	quiet bool
+	byte  [1]byte
+}
+
+func newConnection(conn net.Conn) *connection {
+	c := &connection{conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}
+	c.peek = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), c.byte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.quiet = err == syscall.EAGAIN
+		return true
+	}
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	return c
+}
+
+// stale reports whether the server closed an idle connection or sent something
+// on it unasked. Nothing was written, so another connection can be used.
+func (c *connection) stale() bool {
+	if c.raw == nil {
+		return false
+	}
+	c.quiet = false
+	return c.raw.Read(c.peek) != nil || !c.quiet
+}
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -4,49 +4,95 @@
 package dial
 
 import (
-	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"hyssophub/config"
 )
 
-// bufferSize of a connection's reader and writer, in bytes.
-const bufferSize = 8 << 10
+const (
+	// headroomShare is the divisor of the connection limit that stays free for
+	// probes and for silent connections that were replaced; headroomMin is the
+	// least number.
+	headroomShare = 10
+	headroomMin   = 2
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
+	// silentGrace is added to the deadline of a request on a silent connection
+	// to give the bound until which the server may still count it.
+	silentGrace = 250 * time.Millisecond
+)
 
-// connection is an open connection to a backend server.
-type connection struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	used   time.Time
-}
+// errLimit means that the server's connection limit leaves no connection.
+var errLimit = errors.New("dial: connection limit reached")
 
 // Pool holds the connections to one backend server. Its lock comes after that
 // of owner and before that of work.
 type Pool struct {
 	address string
 	dialer  net.Dialer
+	// probes counts the probes in progress of all pools of a Client.
+	probes *sync.WaitGroup
 
-	mu     sync.Mutex
-	idle   []*connection
-	open   int
+	mu   sync.Mutex
+	idle []*connection
+	open int
+	// lost holds the bounds of the silent connections that were replaced.
+	lost   []time.Time
+	limit  int
 	closed bool
+	// probe is the inspection in progress, or nil.
+	probe *inspection
+	// answered is the time of the last answer; slowest follows the longest
+	// recent exchange.
+	answered time.Time
+	slowest  time.Duration
 }
 
-func newPool(address string) *Pool { return &Pool{address: address} }
+func newPool(server config.Placed, probes *sync.WaitGroup) *Pool {
+	return &Pool{
+		address: server.Server.Address,
+		dialer:  net.Dialer{Timeout: dialTimeout},
+		probes:  probes,
+		limit:   server.Service.Connections,
+	}
+}
 
-// take returns an idle connection or opens one.
+// take returns an idle connection that the server has not closed, or opens one.
 func (p *Pool) take(ctx context.Context) (*connection, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			return p.dial(ctx, false)
+		}
+		if !c.stale() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+func (p *Pool) pop() *connection {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		return c, nil
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// dial opens a connection within the limit. Only probes may use the headroom.
+func (p *Pool) dial(ctx context.Context, probe bool) (*connection, error) {
+	if !p.reserve(probe, time.Now()) {
+		return nil, errLimit
 	}
-	p.open++
-	p.mu.Unlock()
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.mu.Lock()
@@ -54,11 +100,36 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &connection{
-		conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferSize),
-		writer: bufio.NewWriterSize(conn, bufferSize),
-	}, nil
+	return newConnection(conn), nil
+}
+
+// reserve counts a connection about to be opened.
+func (p *Pool) reserve(probe bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit > 0 {
+		limit := p.limit
+		if !probe {
+			limit = max(1, limit-max(headroomMin, limit/headroomShare))
+		}
+		if p.open+p.countLost(now) >= limit {
+			return false
+		}
+	}
+	p.open++
+	return true
+}
+
+// countLost counts the replaced connections that the server may still hold.
+func (p *Pool) countLost(now time.Time) int {
+	kept := p.lost[:0]
+	for _, bound := range p.lost {
+		if now.Before(bound) {
+			kept = append(kept, bound)
+		}
+	}
+	p.lost = kept
+	return len(kept)
 }
 
 // put returns a connection whose last exchange ended cleanly.
@@ -70,7 +141,6 @@
 		_ = c.conn.Close()
 		return
 	}
-	c.used = time.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -82,11 +152,36 @@
 	p.open--
 }
 
-// Open returns the number of open connections.
+// lose closes a connection that went silent. It counts against the limit until
+// the bound, because the server may not notice the close.
+func (p *Pool) lose(c *connection, bound time.Time) {
+	_ = c.conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.lost = append(p.lost, bound)
+}
+
+// note records an answer and how long it took.
+func (p *Pool) note(took time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = now
+	p.slowest = max(took, p.slowest-p.slowest/slowestDecay)
+}
+
+// Open returns the number of connections that count against the limit.
 func (p *Pool) Open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open
+	return p.open + p.countLost(time.Now())
+}
+
+// Limit sets the server's connection limit.
+func (p *Pool) Limit(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = connections
 }
 
 // Close closes the idle connections; the others close when they are returned.
--- a/dial/wire.go
+++ b/dial/wire.go
@@ -1,6 +1,8 @@
 package dial
 
 import (
+	"time"
+
 	"hyssophub/shard"
 )
 
@@ -57,8 +59,11 @@
 	Shards  []string `json:"shards"`
 }
 
-func encodeSearch(sub *shard.Sub) wireSearch {
-	return wireSearch{
+// maxAfter bounds the time to retry after that a server may ask for.
+const maxAfter = time.Minute
+
+func (w *wireSearch) fill(sub *shard.Sub) {
+	*w = wireSearch{
 		ID:      sub.ID,
 		Service: sub.Service,
 		Version: uint64(sub.Version),
@@ -70,14 +75,22 @@
 	}
 }
 
+// decodeAnswer converts an answer. All hits share one array, which saves an
+// allocation for each part.
 func decodeAnswer(w wireAnswer) shard.Answered {
 	o := shard.Answered{Receipt: w.Receipt, Parts: make([]shard.Part, 0, len(w.Parts))}
-	for _, p := range w.Parts {
-		part := shard.Part{Version: shard.Version(p.Version), Shard: p.Shard, Hits: make([]shard.Hit, 0, len(p.Hits))}
+	total := 0
+	for i := range w.Parts {
+		total += len(w.Parts[i].Hits)
+	}
+	hits := make([]shard.Hit, 0, total)
+	for i := range w.Parts {
+		p := &w.Parts[i]
+		begin := len(hits)
 		for _, h := range p.Hits {
-			part.Hits = append(part.Hits, shard.Hit(h))
+			hits = append(hits, shard.Hit(h))
 		}
-		o.Parts = append(o.Parts, part)
+		o.Parts = append(o.Parts, shard.Part{Version: shard.Version(p.Version), Shard: p.Shard, Hits: hits[begin:len(hits):len(hits)]})
 	}
 	return o
 }
--- a/owner/control.go
+++ b/owner/control.go
@@ -17,6 +17,9 @@
 // OwnAs is Own with another kind of takeover for the servers that are new.
 func (e *Engine) OwnAs(placed []config.Placed, takeover Takeover) {
 	before := e.table.Owned()
+	if r, ok := e.backend.(Retainer); ok {
+		r.Retain(placed)
+	}
 	for _, s := range e.table.Own(placed, takeover, time.Now()) {
 		e.report(s.Result)
 	}
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -23,6 +23,10 @@
 	State(ctx context.Context, server config.Placed) (shard.Report, error)
 }
 
+// Retainer is a Backend that holds connections. Retain closes those to all but
+// the given servers, because the next owner needs the connection limit.
+type Retainer interface{ Retain(placed []config.Placed) }
+
 // Courier takes results to the daemon that sent the sub-requests after its
 // call was answered without them.
 type Courier interface {
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -50,9 +50,14 @@
 		s.vacate(sub.ID)
 		return s.refused(o.Reason, now)
 	case shard.Failed:
-		if _, ran := o.Verdict.(fault.Ran); ran {
+		_, ran := o.Verdict.(fault.Ran)
+		switch {
+		case ran || o.Reason == fault.ReasonInternal:
+			// The server answered, if only with an error.
 			s.vacate(sub.ID)
 			return nil
+		case o.Reason == fault.ReasonDown:
+			return s.refused(o.Reason, now)
 		}
 		// A silent connection beside others that answer says nothing about
 		// the server.
