--- a/owner/server.go
+++ b/owner/server.go
@@ -175,9 +175,9 @@
 	s.Busy = slices.DeleteFunc(s.Busy, func(b Slot) bool { return b.Sub == sub })
 }
 
-// expire frees the slots whose bound has passed.
+// expire frees the slots whose bound is reached.
 func (s *Server) expire(now time.Time) {
-	s.Busy = slices.DeleteFunc(s.Busy, func(b Slot) bool { return now.After(b.Bound) })
+	s.Busy = slices.DeleteFunc(s.Busy, func(b Slot) bool { return !now.Before(b.Bound) })
 }
 
 // next takes the next queued sub-requests into slots. Those that may no longer
@@ -225,7 +225,7 @@
 	}
 	sooner(s.Earliest)
 	for _, b := range s.Busy {
-		sooner(b.Bound.Add(time.Nanosecond))
+		sooner(b.Bound)
 	}
 	for c := range s.Queue {
 		if s.Queue[c].Len() > 0 {
