Test the dialer against the fake server's faults

Cause: the three faults, the stale idle connection, broken replies and the verdicts were untested; the cold-floor property let a rate of 4/3 pass. The cold-floor property now keeps the server busy for a second at a time.

--- /dev/null
+++ b/dial/bench_test.go
@@ -0,0 +1,51 @@
+package dial
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/fakes"
+	"hyssophub/shard"
+)
+
+// BenchmarkExchange compares Do with a bare net/http call to the same fake in
+// the same run. The fake runs in this process, so that both include its cost.
+func BenchmarkExchange(b *testing.B) {
+	_, placed := startServer(b, fakes.ServerOptions{})
+	b.Run("dial", func(b *testing.B) {
+		c := startClient(b)
+		b.ReportAllocs()
+		for i := range b.N {
+			outcome := c.Do(b.Context(), placed, testSub(uint64(i+1), time.Second))
+			if _, ok := outcome.(shard.Answered); !ok {
+				b.Fatalf("outcome %v", outcome)
+			}
+		}
+	})
+	b.Run("nethttp", func(b *testing.B) {
+		transport := &http.Transport{}
+		defer transport.CloseIdleConnections()
+		bare := &http.Client{Transport: transport}
+		b.ReportAllocs()
+		for i := range b.N {
+			sub := testSub(uint64(i+1), time.Second)
+			var search wireSearch
+			search.fill(&sub)
+			body, err := json.Marshal(search)
+			require.NoError(b, err)
+			response, err := bare.Post("http://"+placed.Server.Address+pathSearch, "application/json", bytes.NewReader(body))
+			require.NoError(b, err)
+			data, err := io.ReadAll(response.Body)
+			require.NoError(b, err)
+			_ = response.Body.Close()
+			var answer wireAnswer
+			require.NoError(b, json.Unmarshal(data, &answer))
+		}
+	})
+}
--- /dev/null
+++ b/dial/client_test.go
@@ -0,0 +1,207 @@
+package dial
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssophub/config"
+	"hyssophub/fakes"
+	"hyssophub/fault"
+	"hyssophub/shard"
+)
+
+// Guards against a server that is down being taken for a lost connection.
+func TestRefusedConnectionIsDown(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{})
+	require.NoError(t, server.Close())
+	c := startClient(t)
+	require.Equal(t, shard.Refused{Reason: fault.ReasonDown}, c.Do(t.Context(), placed, testSub(1, time.Second)))
+	_, err := c.State(t.Context(), placed)
+	require.Equal(t, fault.ReasonDown, fault.ReasonOf(err))
+}
+
+// openConnections makes the client hold n idle connections.
+func openConnections(t *testing.T, c *Client, placed config.Placed, n int) {
+	var calls sync.WaitGroup
+	for i := range n {
+		calls.Go(func() { _ = c.Do(t.Context(), placed, testSub(uint64(i+1), time.Second)) })
+	}
+	calls.Wait()
+}
+
+// Guards against silent connections that stay in the pool, that make the
+// server look down, or whose replacement breaks the connection limit.
+func TestHalfSilentConnectionsAreReplaced(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{Service: 20 * time.Millisecond, Connections: 25, Connect: 6 * time.Millisecond, Slots: 10})
+	c := startClient(t)
+	openConnections(t, c, placed, 10)
+	require.Equal(t, 10, server.Counts().Connections)
+	require.Equal(t, 5, server.Silence(2))
+	start := time.Now()
+	var (
+		calls sync.WaitGroup
+		id    atomic.Uint64
+		last  atomic.Int64
+	)
+	for range 4 {
+		calls.Go(func() {
+			for time.Since(start) < 2*time.Second {
+				outcome := c.Do(t.Context(), placed, testSub(1000+id.Add(1), 800*time.Millisecond))
+				if _, ok := outcome.(shard.Answered); ok {
+					continue
+				}
+				last.Store(max(last.Load(), int64(time.Since(start))))
+				if f, ok := outcome.(shard.Failed); !ok || f.Reason != fault.ReasonSilent {
+					t.Errorf("outcome %v", outcome)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	t.Logf("last failure after %v", time.Duration(last.Load()))
+	require.Positive(t, last.Load())
+	require.Less(t, time.Duration(last.Load()), time.Second)
+	require.Zero(t, server.Counts().ConnectionBreaches)
+	require.LessOrEqual(t, c.pool(placed).Open(), 10)
+}
+
+// Guards against a slow server being taken for silent connections, which
+// would close them all.
+func TestSlowServerKeepsItsConnections(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{})
+	c := startClient(t)
+	openConnections(t, c, placed, 1)
+	server.Slow(600 * time.Millisecond)
+	outcome := c.Do(t.Context(), placed, testSub(2, 3*time.Second))
+	require.Equal(t, fault.Ran{}, shard.VerdictOf(outcome))
+}
+
+// Guards against a request that fails as "may have run" because the server
+// closed an idle connection earlier.
+func TestClosedIdleConnectionIsNoticed(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{Service: 5 * time.Millisecond})
+	c := startClient(t)
+	openConnections(t, c, placed, 4)
+	server.CloseIdle()
+	require.Eventually(t, func() bool {
+		return server.Counts().Connections == 0
+	}, time.Second, time.Millisecond)
+	require.IsType(t, shard.Answered{}, c.Do(t.Context(), placed, testSub(9, time.Second)))
+	require.Equal(t, 1, c.pool(placed).Open())
+}
+
+// Guards the pool against a connection on which a late answer is still to
+// come, and the connection limit against lost connections.
+func TestTimedOutConnectionIsClosed(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{})
+	c := startClient(t)
+	server.Slow(200 * time.Millisecond)
+	outcome := c.Do(t.Context(), placed, testSub(1, 50*time.Millisecond))
+	require.Equal(t, shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}, outcome)
+	require.Equal(t, 1, c.pool(placed).countLost(time.Now()))
+	server.Slow(0)
+	require.IsType(t, shard.Answered{}, c.Do(t.Context(), placed, testSub(2, time.Second)))
+}
+
+// Guards against connections that stay open after the ownership was lost.
+func TestRetainClosesOtherServers(t *testing.T) {
+	server, placed := startServer(t, fakes.ServerOptions{})
+	c := startClient(t)
+	openConnections(t, c, placed, 3)
+	c.Retain(nil)
+	require.Eventually(t, func() bool { return server.Counts().Connections == 0 }, time.Second, time.Millisecond)
+}
+
+// Guards against replies on the wire that the client must not trust: short
+// bodies, answers to another request, and lost answers.
+func TestBrokenReplies(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	for name, test := range map[string]struct {
+		reply string
+		want  shard.Outcome
+	}{
+		"short body":        {head + "Content-Length: 50\r\n\r\n{\"id\":1", shard.Failed{Verdict: fault.Ran{}, Reason: fault.ReasonTruncated}},
+		"no length":         {head + "\r\n{\"id\":1}", shard.Failed{Verdict: fault.Ran{}, Reason: fault.ReasonTruncated}},
+		"other request":     {head + "Content-Length: 8\r\n\r\n{\"id\":2}", shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonTruncated}},
+		"closed unanswered": {"", shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonConnection}},
+		"draining answer":   {head + "Draining: true\r\nContent-Length: 8\r\n\r\n{\"id\":1}", shard.Answered{Parts: []shard.Part{}, Draining: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			placed := rawServer(t, test.reply)
+			c := startClient(t)
+			require.Equal(t, test.want, c.Do(t.Context(), placed, testSub(1, time.Second)))
+		})
+	}
+}
+
+// rawServer answers each connection's first bytes with a fixed text and
+// closes it.
+func rawServer(t *testing.T, reply string) config.Placed {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = conn.Write([]byte(reply))
+			_ = conn.Close()
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	return config.Placed{
+		Service: &config.Service{Name: "entries", Slots: 1, Connections: 25},
+		Server:  config.Server{Name: "raw", Address: listener.Addr().String()},
+	}
+}
+
+// Guards the verdict NotRun: the server saw no request with this verdict,
+// whatever happened to its connections.
+func TestNotRunMeansUnseen(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		server, placed := startServer(t, fakes.ServerOptions{Service: time.Millisecond})
+		defer func() { _ = server.Close() }()
+		c := NewClient()
+		defer c.Close()
+		ran := 0
+		for i := range rapid.IntRange(1, 6).Draw(rt, "requests") {
+			switch rapid.IntRange(0, 4).Draw(rt, "fault") {
+			case 0:
+				server.CloseIdle()
+			case 1:
+				server.Silence(1)
+			case 2:
+				_ = server.Close()
+			}
+			left := time.Duration(rapid.IntRange(0, 15).Draw(rt, "left")) * time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rapid.IntRange(1, 15).Draw(rt, "cancel"))*time.Millisecond)
+			before := server.Counts().Seen
+			outcome := c.Do(ctx, placed, testSub(uint64(i+1), left))
+			cancel()
+			switch shard.VerdictOf(outcome).(type) {
+			case fault.NotRun:
+				if server.Counts().Seen != before {
+					rt.Fatalf("refused as %v but the server saw it", outcome)
+				}
+			case fault.Ran:
+				ran++
+			}
+		}
+		if handled := server.Counts().Handled; ran > handled {
+			rt.Fatalf("%d ran by verdict, %d at the server", ran, handled)
+		}
+	})
+}
--- /dev/null
+++ b/dial/main_test.go
@@ -0,0 +1,41 @@
+package dial
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/config"
+	"hyssophub/fakes"
+	"hyssophub/props"
+	"hyssophub/shard"
+)
+
+func TestMain(m *testing.M) { os.Exit(props.Main(m)) }
+
+// startServer starts a fake backend server with one index version.
+func startServer(t testing.TB, options fakes.ServerOptions) (*fakes.Server, config.Placed) {
+	options.Name = "s1"
+	options.Slots = max(options.Slots, 8)
+	options.Indexes = []fakes.Index{{Version: 1, All: []string{"a"}, Shards: []string{"a"}}}
+	server, err := fakes.NewServer(options)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	service := &config.Service{Name: "entries", Slots: options.Slots, Connections: 25}
+	return server, config.Placed{Service: service, Server: config.Server{Name: "s1", Address: server.Address()}}
+}
+
+func startClient(t testing.TB) *Client {
+	c := NewClient()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func testSub(id uint64, left time.Duration) shard.Sub {
+	return shard.Sub{
+		ID: id, Service: "entries", Version: 1, Shards: []string{"a"},
+		Text: "plot 7", Limit: 3, Deadline: time.Now().Add(left),
+	}
+}
--- a/owner/property_test.go
+++ b/owner/property_test.go
@@ -103,8 +103,20 @@
 	m.follow(o.table, turn)
 }
 
-func (m *machine) pass(t *rapid.T) {
-	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "pass")) * time.Millisecond)
+func (m *machine) pass(t *rapid.T) { m.advance(rapid.IntRange(1, 700).Draw(t, "pass")) }
+
+// burst keeps the server as busy as the table allows for about a second.
+func (m *machine) burst(t *rapid.T) {
+	for range 20 {
+		m.admit(t)
+		m.check(t)
+		m.advance(rapid.IntRange(1, 100).Draw(t, "step"))
+		m.end(t)
+	}
+}
+
+func (m *machine) advance(ms int) {
+	m.now = m.now.Add(time.Duration(ms) * time.Millisecond)
 	for id, bound := range m.server.working {
 		if !m.now.Before(bound) {
 			delete(m.server.working, id)
@@ -162,7 +174,7 @@
 		m.tables[0] = NewTable(permitAll)
 		m.tables[0].Own([]config.Placed{m.placed}, Takeover{Unconfirmed: true}, m.now)
 		t.Repeat(map[string]func(*rapid.T){
-			"admit": m.admit, "check": m.check, "end": m.end, "pass": m.pass,
+			"admit": m.admit, "check": m.check, "end": m.end, "pass": m.pass, "burst": m.burst,
 			"": func(t *rapid.T) {
 				if len(m.server.working) > 1 {
 					t.Fatalf("%d requests in progress on a cold server", len(m.server.working))
