Let a cold server warm up under load beside short deadlines

Cause: a test over sockets never reached Warm within 10 s. Sub-requests left the queue with a few milliseconds to their deadline, timed out, and each such timeout halved the progress of the ramp. Change: a queued sub-request with less time left than the tail of the service times is refused; a timeout counts against the server only if it took longer than a slow reply. The dialer reuses its limited reader.

--- a/dial/bench_test.go
+++ b/dial/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,13 +15,29 @@
 	"hyssophub/shard"
 )
 
+// reportProcessor reports the allocations and the processor time of the
+// process, which includes that of the fake.
+func reportProcessor(b *testing.B) func() {
+	b.ReportAllocs()
+	begin := processorTime(b)
+	return func() {
+		b.ReportMetric(float64((processorTime(b)-begin).Nanoseconds())/float64(b.N), "cpu-ns/op")
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // BenchmarkExchange compares Do with a bare net/http call to the same fake in
 // the same run. The fake runs in this process, so that both include its cost.
 func BenchmarkExchange(b *testing.B) {
 	_, placed := startServer(b, fakes.ServerOptions{})
 	b.Run("dial", func(b *testing.B) {
 		c := startClient(b)
-		b.ReportAllocs()
+		defer reportProcessor(b)()
 		for i := range b.N {
 			outcome := c.Do(b.Context(), placed, testSub(uint64(i+1), time.Second))
 			if _, ok := outcome.(shard.Answered); !ok {
@@ -32,7 +49,7 @@
 		transport := &http.Transport{}
 		defer transport.CloseIdleConnections()
 		bare := &http.Client{Transport: transport}
-		b.ReportAllocs()
+		defer reportProcessor(b)()
 		for i := range b.N {
 			sub := testSub(uint64(i+1), time.Second)
 			var search wireSearch
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -33,6 +33,7 @@
 	encoder *json.Encoder
 	search  wireSearch
 	in      bytes.Buffer
+	limited io.LimitedReader
 }
 
 var scratches = sync.Pool{New: func() any {
@@ -109,7 +110,9 @@
 		return r, errNoLength
 	}
 	s.in.Reset()
-	_, err = s.in.ReadFrom(io.LimitReader(response.Body, maxBody+1))
+	s.limited = io.LimitedReader{R: response.Body, N: maxBody + 1}
+	_, err = s.in.ReadFrom(&s.limited)
+	s.limited.R = nil
 	if closed := response.Body.Close(); err == nil {
 		err = closed
 	}
@@ -134,6 +137,9 @@
 func isShort(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		return false
+	}
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/owner/server.go
+++ b/owner/server.go
@@ -188,7 +188,13 @@
 		queue := &s.Queue[c]
 		for queue.Len() > 0 {
 			sub := queue.head()
-			if reason, ok := s.admissible(sub, now); !ok {
+			reason, ok := s.admissible(sub, now)
+			if ok && sub.Deadline.Sub(now) < s.Latency.Tail() {
+				// Too little time is left for a reply. A new sub-request is
+				// not judged by this, so that the figures can recover.
+				reason, ok = fault.ReasonDeadline, false
+			}
+			if !ok {
 				refused = append(refused, refusal{sub: queue.pop(), reason: reason})
 				continue
 			}
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -64,10 +64,14 @@
 		if !current || !s.Good.Before(sent) {
 			return nil
 		}
-		s.Health = Retreat(s.Health)
+		// A deadline shorter than a usual reply says nothing either.
 		if isSlow(took, reference) {
+			s.Health = Retreat(s.Health)
 			return s.slowed(now)
 		}
+		if o.Reason == fault.ReasonConnection {
+			s.Health = Retreat(s.Health)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/owner/socket_test.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/config"
+	"hyssophub/dial"
+	"hyssophub/fakes"
+	"hyssophub/shard"
+)
+
+// load submits sub-requests from several callers until it is stopped.
+type load struct {
+	engine *Engine
+	id     atomic.Uint64
+	stop   atomic.Bool
+	calls  sync.WaitGroup
+}
+
+func (l *load) start(t *testing.T, callers int) {
+	for range callers {
+		l.calls.Go(func() {
+			for !l.stop.Load() {
+				sub := testSub(l.id.Add(1), "s1", shard.Routine, time.Now().Add(100*time.Millisecond))
+				sub.Version, sub.Shards, sub.Limit = 1, []string{"a"}, 1
+				results := l.engine.Submit(t.Context(), shard.Batch{From: "host", Subs: []shard.Sub{sub}})
+				for _, r := range results {
+					if refused, ok := r.Outcome.(shard.Refused); ok {
+						pause(refused.RetryAfter)
+					}
+				}
+			}
+		})
+	}
+}
+
+func pause(d time.Duration) { <-time.After(min(d, 20*time.Millisecond)) }
+
+// TestColdServerOverSockets guards a real cold start against any request above
+// what the server bears, and the detection of a silent change within 1 s.
+func TestColdServerOverSockets(t *testing.T) {
+	server, err := fakes.NewServer(fakes.ServerOptions{
+		Name: "s1", Slots: 4, Service: 10 * time.Millisecond, Floor: 20, Warmup: 2 * time.Second,
+		Connections: 25, Connect: time.Millisecond,
+		Indexes: []fakes.Index{{Version: 1, All: []string{"a"}, Shards: []string{"a"}}},
+	})
+	require.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	client := dial.NewClient()
+	defer client.Close()
+	table := NewTable(permitAll)
+	options := DefaultOptions()
+	options.Hold = 200 * time.Millisecond
+	engine := NewEngine(table, client, noCourier{}, options)
+	defer engine.Close()
+	service := testService("entries", 4)
+	service.Floor, service.Warmup = 20, 2*time.Second
+	engine.Own([]config.Placed{{Service: service, Server: config.Server{Name: "s1", Address: server.Address()}}})
+
+	l := &load{engine: engine}
+	l.start(t, 8)
+	defer l.calls.Wait()
+	defer l.stop.Store(true)
+	waitHealth(t, table, Warm{}, 10*time.Second)
+	require.Zero(t, server.Counts().RateBreaches)
+
+	// Some replies give the detection its median.
+	handled := server.Handled()
+	require.Eventually(t, func() bool { return server.Handled() > handled+100 }, 5*time.Second, time.Millisecond)
+	server.TurnCold()
+	start := time.Now()
+	waitHealth(t, table, Cold{}, 2*time.Second)
+	t.Logf("silent change noticed after %v, %d breaches", time.Since(start), server.Counts().RateBreaches)
+	require.Less(t, time.Since(start), time.Second)
+	require.Zero(t, server.Counts().ConnectionBreaches)
+	require.Zero(t, server.Counts().SlotBreaches)
+}
+
+func waitHealth(t *testing.T, table *Table, want Health, within time.Duration) {
+	require.Eventually(t, func() bool {
+		health, _ := table.Health("s1")
+		return health == want
+	}, within, time.Millisecond)
+}
