Count broken connections as evidence of a cold server

Cause: a server that started anew between two polls breaks its connections but refuses none, and stayed warm at its owner. A test read the pool without its lock, which the race detector reported. Change: an exchange that fails with a broken connection counts like a slow reply. The latency window counts in microseconds of 32 bits. The default number of workers is above the slots that one host owns. The test takes the lock.

--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -105,7 +105,12 @@
 	server.Slow(200 * time.Millisecond)
 	outcome := c.Do(t.Context(), placed, testSub(1, 50*time.Millisecond))
 	require.Equal(t, shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}, outcome)
-	require.Equal(t, 1, c.pool(placed).countLost(time.Now()))
+	p := c.pool(placed)
+	p.mu.Lock()
+	lost, idle := p.countLost(time.Now()), len(p.idle)
+	p.mu.Unlock()
+	require.Equal(t, 1, lost)
+	require.Zero(t, idle)
 	server.Slow(0)
 	require.IsType(t, shard.Answered{}, c.Do(t.Context(), placed, testSub(2, time.Second)))
 }
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -56,6 +56,10 @@
 }
 
 const (
+	// workers is well above the slots of the servers that one host owns, also
+	// after the failure of its neighbours, so that routine exchanges do not
+	// keep urgent ones from a worker.
+	workers = 512
 	// sweepInterval keeps the detection of a cold server under 1 s.
 	sweepInterval = 200 * time.Millisecond
 	// reserveTime is the bound of the requests that a failed owner left
@@ -66,7 +70,7 @@
 
 // DefaultOptions returns settings for a daemon that owns about 14 servers.
 func DefaultOptions() Options {
-	return Options{Workers: 128, Hold: 10 * time.Millisecond, Linger: time.Millisecond, Poll: time.Second, Sweep: sweepInterval, Takeover: Takeover{Reserve: reserveTime}}
+	return Options{Workers: workers, Hold: 10 * time.Millisecond, Linger: time.Millisecond, Poll: time.Second, Sweep: sweepInterval, Takeover: Takeover{Reserve: reserveTime}}
 }
 
 // job is what a worker of the owner does. The interface is sealed.
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -64,14 +64,12 @@
 		if !current || !s.Good.Before(sent) {
 			return nil
 		}
-		// A deadline shorter than a usual reply says nothing either.
-		if isSlow(took, reference) {
+		// A deadline shorter than a usual reply says nothing either. A broken
+		// connection counts, because the server may have started anew.
+		if isSlow(took, reference) || o.Reason == fault.ReasonConnection {
 			s.Health = Retreat(s.Health)
 			return s.slowed(now)
 		}
-		if o.Reason == fault.ReasonConnection {
-			s.Health = Retreat(s.Health)
-		}
 	}
 	return nil
 }
--- a/owner/window.go
+++ b/owner/window.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,9 +12,10 @@
 
 // Window keeps the most recent service times of a server, also in sorted
 // order, because a sort on every reply costs more than the rest of a decision.
+// It counts in microseconds, which keeps the records of many servers small.
 type Window struct {
-	samples [windowSize]time.Duration
-	sorted  [windowSize]time.Duration
+	samples [windowSize]uint32
+	sorted  [windowSize]uint32
 	count   int
 	next    int
 }
@@ -23,16 +25,17 @@
 	if w.count == windowSize {
 		w.remove(w.samples[w.next])
 	}
-	w.samples[w.next] = took
+	sample := uint32(min(took.Microseconds(), math.MaxUint32))
+	w.samples[w.next] = sample
 	w.next = (w.next + 1) % windowSize
-	i, _ := slices.BinarySearch(w.sorted[:w.count], took)
+	i, _ := slices.BinarySearch(w.sorted[:w.count], sample)
 	copy(w.sorted[i+1:w.count+1], w.sorted[i:w.count])
-	w.sorted[i] = took
+	w.sorted[i] = sample
 	w.count++
 }
 
-func (w *Window) remove(took time.Duration) {
-	i, _ := slices.BinarySearch(w.sorted[:w.count], took)
+func (w *Window) remove(sample uint32) {
+	i, _ := slices.BinarySearch(w.sorted[:w.count], sample)
 	copy(w.sorted[i:w.count-1], w.sorted[i+1:w.count])
 	w.count--
 }
@@ -50,5 +53,5 @@
 	if w.count == 0 {
 		return 0
 	}
-	return w.sorted[min(w.count-1, w.count*num/den)]
+	return time.Duration(w.sorted[min(w.count-1, w.count*num/den)]) * time.Microsecond
 }
