Poll each server once, with jitter

Cause: a server that was lost and owned again within a poll interval got a second series of polls for good, and hosts that start together polled together. Change: the engine records which servers are polled and spreads the interval by a fifth. The socket test also covers draining learned from replies alone. Conclusion: polls stay at one per server and interval.

--- a/owner/control.go
+++ b/owner/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"hyssophub/config"
@@ -16,20 +17,19 @@
 
 // OwnAs is Own with another kind of takeover for the servers that are new.
 func (e *Engine) OwnAs(placed []config.Placed, takeover Takeover) {
-	before := e.table.Owned()
 	if r, ok := e.backend.(Retainer); ok {
 		r.Retain(placed)
 	}
 	for _, s := range e.table.Own(placed, takeover, time.Now()) {
 		e.report(s.Result)
 	}
-	known := make(map[string]bool, len(before))
-	for _, p := range before {
-		known[p.Server.Name] = true
-	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, p := range placed {
-		if !known[p.Server.Name] {
-			_ = e.pool.Submit(shard.Routine, pollJob{server: p})
+		name := p.Server.Name
+		if !e.polled[name] {
+			e.polled[name] = true
+			_ = e.pool.Submit(shard.Routine, pollJob{server: name})
 		}
 	}
 }
@@ -66,14 +66,17 @@
 	e.later(e.options.Sweep, shard.Urgent, sweepJob{})
 }
 
+// pollJitter is the divisor of the poll interval that gives its spread, so that
+// hosts that start together do not keep polling together.
+const pollJitter = 5
+
 // poll asks a server for its report and schedules the next poll while the
 // server is owned.
-func (e *Engine) poll(server config.Placed) {
-	placed, ok := e.table.Placed(server.Server.Name)
+func (e *Engine) poll(name string) {
+	placed, ok := e.pollable(name)
 	if !ok {
 		return
 	}
-	name := placed.Server.Name
 	ctx, cancel := context.WithTimeout(e.ctx, e.options.Poll)
 	report, err := e.backend.State(ctx, placed)
 	cancel()
@@ -85,7 +88,21 @@
 	case fault.ReasonOf(err) == fault.ReasonDown:
 		e.proceed(name, e.table.Down(name, now), now)
 	}
-	e.later(e.options.Poll, shard.Routine, pollJob{server: placed})
+	spread := e.options.Poll / pollJitter
+	e.later(e.options.Poll-spread+rand.N(spread+1), shard.Routine, pollJob{server: name})
+}
+
+// pollable returns the place of a server that is still owned, and ends its
+// polling otherwise. The check holds the engine's lock, so that an Own at the
+// same time either finds the polling ended or keeps it.
+func (e *Engine) pollable(name string) (config.Placed, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	placed, ok := e.table.Placed(name)
+	if !ok {
+		delete(e.polled, name)
+	}
+	return placed, ok
 }
 
 // Catalog returns the catalogs of the owned servers.
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -83,7 +83,7 @@
 	}
 	wakeJob  struct{ server string }
 	flushJob struct{ host string }
-	pollJob  struct{ server config.Placed }
+	pollJob  struct{ server string }
 	sweepJob struct{}
 )
 
@@ -107,7 +107,9 @@
 	mu      sync.Mutex
 	flights map[uint64]*flight
 	outbox  map[string][]shard.Result
-	closed  bool
+	// polled holds the servers with a poll under way or scheduled.
+	polled map[string]bool
+	closed bool
 }
 
 // queueLimit bounds the pool's queue per class. Dispatches hold a slot each,
@@ -123,6 +125,7 @@
 		options: options,
 		flights: make(map[uint64]*flight),
 		outbox:  make(map[string][]shard.Result),
+		polled:  make(map[string]bool),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.pool = work.NewPool(options.Workers, queueLimit, e.handle)
--- a/owner/socket_test.go
+++ b/owner/socket_test.go
@@ -10,6 +10,7 @@
 
 	"hyssophub/config"
 	"hyssophub/dial"
+	"hyssophub/event"
 	"hyssophub/fakes"
 	"hyssophub/shard"
 )
@@ -42,7 +43,8 @@
 func pause(d time.Duration) { <-time.After(min(d, 20*time.Millisecond)) }
 
 // TestColdServerOverSockets guards a real cold start against any request above
-// what the server bears, and the detection of a silent change within 1 s.
+// what the server bears, the detection of a silent change within 1 s, and the
+// detection of draining within 2 s.
 func TestColdServerOverSockets(t *testing.T) {
 	server, err := fakes.NewServer(fakes.ServerOptions{
 		Name: "s1", Slots: 4, Service: 10 * time.Millisecond, Floor: 20, Warmup: 2 * time.Second,
@@ -56,6 +58,12 @@
 	table := NewTable(permitAll)
 	options := DefaultOptions()
 	options.Hold = 200 * time.Millisecond
+	drained := make(chan event.Event, 8)
+	options.Publish = func(e event.Event) {
+		if _, ok := e.(event.ServerDraining); ok {
+			drained <- e
+		}
+	}
 	engine := NewEngine(table, client, noCourier{}, options)
 	defer engine.Close()
 	service := testService("entries", 4)
@@ -79,6 +87,16 @@
 	require.Less(t, time.Since(start), time.Second)
 	require.Zero(t, server.Counts().ConnectionBreaches)
 	require.Zero(t, server.Counts().SlotBreaches)
+
+	// The state endpoint denies it, so that only the replies tell.
+	server.Mislead(true)
+	server.Drain()
+	select {
+	case e := <-drained:
+		require.Equal(t, event.ServerDraining{Server: "s1"}, e)
+	case <-time.After(2 * time.Second):
+		t.Fatal("no draining event within 2 s")
+	}
 }
 
 func waitHealth(t *testing.T, table *Table, want Health, within time.Duration) {
