Space dispatches on the ramp by the dispatch and by late replies

The interval counted from the admission, so a worker that started late brought two dispatches together, and near the end of the ramp the rate left little room for jitter.

--- a/owner/health.go
+++ b/owner/health.go
@@ -37,6 +37,10 @@
 	// rampMargin stretches the interval between dispatches on the ramp, so
 	// that jitter on the way cannot bring them closer than the server bears.
 	rampMargin = 1.05
+	// rampTop is the share of the full rate at which the ramp ends. Towards the
+	// end the intervals are short against the jitter on the way, which would
+	// bring requests above what a nearly warm server bears.
+	rampTop = 0.7
 	// rampStep bounds the progress that one good reply proves. A server warms
 	// up under load, so an idle gap is no progress.
 	rampStep = 500 * time.Millisecond
@@ -57,7 +61,7 @@
 
 // LimitOf returns what a server of the service bears. Latency is the recent
 // median service time or zero. The rate grows geometrically from the floor to
-// the rate that fills all slots, which stays below a linear warm-up.
+// a share of the rate that fills all slots, which stays below a linear warm-up.
 func LimitOf(health Health, service *config.Service, latency time.Duration) Limit {
 	switch h := health.(type) {
 	case Warm:
@@ -66,7 +70,7 @@
 		floor := float64(max(1, service.Floor))
 		top := floor
 		if latency > 0 {
-			top = max(floor, float64(service.Slots)/latency.Seconds())
+			top = max(floor, rampTop*float64(service.Slots)/latency.Seconds())
 		}
 		rate := floor * math.Pow(top/floor, h.Progress)
 		return Limit{Slots: 1 + int(h.Progress*float64(service.Slots-1)), Interval: interval(rate)}
--- a/owner/settle.go
+++ b/owner/settle.go
@@ -105,6 +105,13 @@
 		}
 		s.Health = Advance(s.Health, gap, s.Placed.Service.Warmup)
 	}
+	// A reply that took longer than usual may have reached the server late,
+	// and the next request must not follow it too closely.
+	if interval := s.limit().Interval; interval > 0 {
+		if at := now.Add(interval - s.Latency.Median()); at.After(s.Earliest) {
+			s.Earliest = at
+		}
+	}
 	s.Good = now
 	s.Slow = 0
 	return nil
--- a/owner/table.go
+++ b/owner/table.go
@@ -71,6 +71,9 @@
 		return config.Placed{}, reason, false
 	}
 	slot.Sent = now
+	// The interval counts from the dispatch, not from the admission, so that
+	// a late worker does not bring two dispatches together.
+	s.Earliest = now.Add(s.limit().Interval)
 	return s.Placed, "", true
 }
 
