Refuse early on the ramp while another replica can be tried

Cause: a sub-request waited for a cold server until its deadline, and the refusal left its sender no time for another replica. Change: a server on the ramp queues only what can go out in half of the time to the deadline; the expected service time counts too. Result: scripts and tests pass.

--- a/owner/server.go
+++ b/owner/server.go
@@ -22,6 +22,9 @@
 	// urgentMemory is how long slots stay reserved after urgent work was seen.
 	// A server without urgent work gives all its slots to routine work.
 	urgentMemory = time.Minute
+	// rampPatience is the divisor of the time to the deadline that a
+	// sub-request may wait for a server on the ramp.
+	rampPatience = 2
 	// refusalPause is the time to retry after where no better one is known.
 	refusalPause = 100 * time.Millisecond
 )
@@ -102,8 +105,12 @@
 		return Refuse{Reason: s.scarcity(), RetryAfter: s.pause()}
 	}
 	queue := &s.Queue[sub.Class]
-	wait := s.wait(sub.Class, now)
-	if queue.Len() >= queuePerSlot*s.Placed.Service.Slots || now.Add(wait).After(sub.Deadline) {
+	wait, left := s.wait(sub.Class, now), sub.Deadline.Sub(now)
+	if s.limit().Interval > 0 {
+		// The sender keeps enough time to try another replica.
+		left /= rampPatience
+	}
+	if queue.Len() >= queuePerSlot*s.Placed.Service.Slots || wait+s.Latency.Median() > left {
 		return Refuse{Reason: s.scarcity(), RetryAfter: max(wait, refusalPause)}
 	}
 	heap.Push(queue, new(*sub))
