Lower the cost of a sub-request over both hops

Cause: the tier spent 1.26 times a bare call on a sub-request with GOGC=400 and 1.70 times with the default; allocations and encoding/json led the profile.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -39,6 +39,7 @@
 		runChild()
 		return
 	}
+	TuneMemory()
 	os.Exit(m.Run())
 }
 
--- a/dial/client.go
+++ b/dial/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -10,6 +9,8 @@
 	"syscall"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	"hyssophub/config"
 	"hyssophub/fault"
 	"hyssophub/shard"
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"sync"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	"hyssophub/fault"
 )
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -55,31 +55,76 @@
 	return batch
 }
 
+// encodeResults converts results. Messages of one kind come from one block of
+// memory, since single allocations were a tenth of the hop's cost.
 func encodeResults(results []shard.Result) *peerpb.Results {
-	w := &peerpb.Results{Results: make([]*peerpb.Result, 0, len(results))}
-	for _, r := range results {
-		p := &peerpb.Result{Sub: r.Sub, Server: r.Server, Took: r.Took.Microseconds(), Figures: encodeFigures(r.Figures)}
+	w := &peerpb.Results{Results: make([]*peerpb.Result, len(results))}
+	block := newResultBlock(results)
+	for i := range results {
+		r := &results[i]
+		p := &block.results[i]
+		p.Sub, p.Server, p.Took = r.Sub, r.Server, r.Took.Microseconds()
+		p.Figures = &block.figures[i]
+		encodeFigures(p.Figures, &r.Figures)
 		switch o := r.Outcome.(type) {
 		case shard.Answered:
-			p.Outcome = &peerpb.Result_Answered{Answered: encodeAnswered(o)}
+			p.Outcome = &peerpb.Result_Answered{Answered: block.answered(o)}
 		case shard.Refused:
 			p.Outcome = &peerpb.Result_Refused{Refused: &peerpb.Refused{Reason: string(o.Reason), After: o.RetryAfter.Microseconds()}}
 		case shard.Failed:
 			p.Outcome = &peerpb.Result_Failed{Failed: &peerpb.Failed{Verdict: o.Verdict.String(), Reason: string(o.Reason)}}
 		}
-		w.Results = append(w.Results, p)
+		w.Results[i] = p
 	}
 	return w
 }
 
-func encodeAnswered(o shard.Answered) *peerpb.Answered {
-	w := &peerpb.Answered{Receipt: o.Receipt, Parts: make([]*peerpb.Part, 0, len(o.Parts))}
-	for _, p := range o.Parts {
-		part := &peerpb.Part{Version: uint64(p.Version), Shard: p.Shard, Hits: make([]*peerpb.Hit, 0, len(p.Hits))}
-		for _, h := range p.Hits {
-			part.Hits = append(part.Hits, &peerpb.Hit{Key: h.Key, Score: h.Score, Text: h.Text})
+// resultBlock holds the messages of a set of results.
+type resultBlock struct {
+	results  []peerpb.Result
+	figures  []peerpb.Figures
+	parts    []peerpb.Part
+	partRefs []*peerpb.Part
+	hits     []peerpb.Hit
+	hitRefs  []*peerpb.Hit
+}
+
+func newResultBlock(results []shard.Result) *resultBlock {
+	var parts, hits int
+	for i := range results {
+		if o, ok := results[i].Outcome.(shard.Answered); ok {
+			parts += len(o.Parts)
+			for j := range o.Parts {
+				hits += len(o.Parts[j].Hits)
+			}
 		}
-		w.Parts = append(w.Parts, part)
+	}
+	return &resultBlock{
+		results:  make([]peerpb.Result, len(results)),
+		figures:  make([]peerpb.Figures, len(results)),
+		parts:    make([]peerpb.Part, parts),
+		partRefs: make([]*peerpb.Part, parts),
+		hits:     make([]peerpb.Hit, hits),
+		hitRefs:  make([]*peerpb.Hit, hits),
+	}
+}
+
+func (b *resultBlock) answered(o shard.Answered) *peerpb.Answered {
+	w := &peerpb.Answered{Receipt: o.Receipt}
+	w.Parts, b.partRefs = b.partRefs[:len(o.Parts):len(o.Parts)], b.partRefs[len(o.Parts):]
+	for i := range o.Parts {
+		from := &o.Parts[i]
+		part := &b.parts[0]
+		b.parts = b.parts[1:]
+		part.Version, part.Shard = uint64(from.Version), from.Shard
+		part.Hits, b.hitRefs = b.hitRefs[:len(from.Hits):len(from.Hits)], b.hitRefs[len(from.Hits):]
+		for j := range from.Hits {
+			hit := &b.hits[0]
+			b.hits = b.hits[1:]
+			hit.Key, hit.Score, hit.Text = from.Hits[j].Key, from.Hits[j].Score, from.Hits[j].Text
+			part.Hits[j] = hit
+		}
+		w.Parts[i] = part
 	}
 	return w
 }
@@ -106,28 +151,30 @@
 }
 
 func decodeAnswered(w *peerpb.Answered) shard.Answered {
+	count := 0
+	for _, p := range w.GetParts() {
+		count += len(p.GetHits())
+	}
+	hits := make([]shard.Hit, 0, count)
 	o := shard.Answered{Receipt: w.GetReceipt(), Parts: make([]shard.Part, 0, len(w.GetParts()))}
 	for _, p := range w.GetParts() {
-		part := shard.Part{Version: shard.Version(p.GetVersion()), Shard: p.GetShard(), Hits: make([]shard.Hit, 0, len(p.GetHits()))}
+		first := len(hits)
 		for _, h := range p.GetHits() {
-			part.Hits = append(part.Hits, shard.Hit{Key: h.GetKey(), Score: h.GetScore(), Text: h.GetText()})
+			hits = append(hits, shard.Hit{Key: h.GetKey(), Score: h.GetScore(), Text: h.GetText()})
 		}
-		o.Parts = append(o.Parts, part)
+		o.Parts = append(o.Parts, shard.Part{
+			Version: shard.Version(p.GetVersion()),
+			Shard:   p.GetShard(),
+			Hits:    hits[first:len(hits):len(hits)],
+		})
 	}
 	return o
 }
 
-func encodeFigures(f shard.Figures) *peerpb.Figures {
-	return &peerpb.Figures{
-		Server:  f.Server,
-		Latency: f.Latency.Microseconds(),
-		Tail:    f.Tail.Microseconds(),
-		Queued:  uint32(f.Queued),
-		Busy:    uint32(f.Busy),
-		Free:    uint32(f.Free),
-		Usable:  f.Usable,
-		Stamp:   f.Stamp,
-	}
+func encodeFigures(w *peerpb.Figures, f *shard.Figures) {
+	w.Server, w.Usable, w.Stamp = f.Server, f.Usable, f.Stamp
+	w.Latency, w.Tail = f.Latency.Microseconds(), f.Tail.Microseconds()
+	w.Queued, w.Busy, w.Free = uint32(f.Queued), uint32(f.Busy), uint32(f.Free)
 }
 
 func decodeFigures(w *peerpb.Figures) shard.Figures {
