Decide membership by heartbeats, echoes and the roster

Cause: the table took the platform's host list as proof of life, so a paused or cut off owner went on dispatching beside its successor.

Change: member.Table takes heartbeats, ticks and answers of the store and returns sealed actions. A host dispatches while all members of the zone's roster echo its heartbeats of the last second. Silent members are written out after 0.7 s and replaced after 1.3 s. A host that joins stands by until every active member needs its echo. One that reaches no active member claims the roster through the store, and any active member that is alive removes the claim.

The daemon runs them on a worker of their own.

The daemon spreads the configuration over the same heartbeats: two watchers of each zone watch the store, the others fetch from the sender. A host that is not fresh sends nothing to other zones, and the owner's check covers zone, freshness and term without taking a lock of membership.

--- /dev/null
+++ b/codec/roster.go
@@ -0,0 +1,56 @@
+package codec
+
+import (
+	"encoding/json"
+
+	"hyssophub/member"
+)
+
+type wireRoster struct {
+	Epoch   uint64       `json:"epoch"`
+	Members []wireMember `json:"members"`
+}
+
+type wireMember struct {
+	Name        string `json:"name"`
+	Peer        string `json:"peer"`
+	Beat        string `json:"beat"`
+	Incarnation uint64 `json:"incarnation"`
+	Role        string `json:"role"`
+}
+
+// EncodeRoster returns a roster as the store holds it.
+func EncodeRoster(r member.Roster) ([]byte, error) {
+	w := wireRoster{Epoch: r.Epoch, Members: make([]wireMember, 0, len(r.Members))}
+	for _, m := range r.Members {
+		w.Members = append(w.Members, wireMember{
+			Name:        m.Host.Name,
+			Peer:        m.Host.Peer,
+			Beat:        m.Host.Beat,
+			Incarnation: m.Host.Incarnation,
+			Role:        string(m.Role),
+		})
+	}
+	return json.Marshal(w)
+}
+
+// DecodeRoster returns the roster of a zone from the store's value. An absent
+// value is the roster of epoch zero.
+func DecodeRoster(data []byte, zone string, revision uint64) (member.Roster, error) {
+	r := member.Roster{Revision: revision}
+	if revision == 0 {
+		return r, nil
+	}
+	var w wireRoster
+	if err := decodeStrict(data, &w); err != nil {
+		return member.Roster{}, err
+	}
+	r.Epoch = w.Epoch
+	for _, m := range w.Members {
+		r.Members = append(r.Members, member.Member{
+			Host: member.Host{Name: m.Name, Zone: zone, Peer: m.Peer, Beat: m.Beat, Incarnation: m.Incarnation},
+			Role: member.Role(m.Role),
+		})
+	}
+	return r, nil
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,41 +2,60 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
-	"hyssophub/codec"
-	"hyssophub/config"
-	"hyssophub/event"
 	"hyssophub/member"
 	"hyssophub/shard"
 	"hyssophub/store"
 )
 
-// configKey is the key of the configuration in the platform's store.
-const configKey = "config"
-
 // Workers, queue bound and intervals of the control jobs.
 const (
-	controlWorkers  = 4
+	// controlWorkers exceeds the number of jobs that may wait for a silent
+	// store or peer at one time.
+	controlWorkers  = 8
 	controlQueue    = 1024
 	hostInterval    = time.Second
 	catalogInterval = 200 * time.Millisecond
-	watchPause      = 250 * time.Millisecond
-	controlTimeout  = time.Second
+	// idleWatch is how often a host that does not watch the store looks
+	// whether it should.
+	idleWatch      = 250 * time.Millisecond
+	controlTimeout = time.Second
 )
 
+// Retries of control jobs wait from retryFirst to retryMost.
+const (
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// retry returns the pause before a retry. It doubles with each failure, and
+// its random half keeps the hosts from retrying together.
+func retry(failures int) time.Duration {
+	full := min(retryFirst<<min(failures, 10), retryMost)
+	return full/2 + rand.N(full/2)
+}
+
 // controlJob is what a control worker does. The interface is sealed.
 type controlJob interface{ controlJob() }
 
 type (
-	watchJob   struct{}
-	hostsJob   struct{}
+	watchJob   struct{ failures int }
+	hostsJob   struct{ failures int }
 	catalogJob struct{}
+	ownJob     struct{}
+	fetchJob   struct{ from string }
+	rosterJob  struct{ action member.Action }
 )
 
 func (watchJob) controlJob()   {}
 func (hostsJob) controlJob()   {}
 func (catalogJob) controlJob() {}
+func (ownJob) controlJob()     {}
+func (fetchJob) controlJob()   {}
+func (rosterJob) controlJob()  {}
 
 func (c *Core) startControl() {
 	for _, j := range []controlJob{watchJob{}, hostsJob{}, catalogJob{}} {
@@ -53,91 +72,42 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	switch j.(type) {
+	switch j := j.(type) {
 	case watchJob:
-		c.schedule(c.watch(), j)
+		c.watch(j)
 	case hostsJob:
-		c.refreshHosts()
-		c.schedule(hostInterval, j)
+		c.refreshHosts(j)
 	case catalogJob:
 		c.refreshCatalogs()
 		c.schedule(catalogInterval, j)
+	case ownJob:
+		c.own()
+	case fetchJob:
+		c.fetch(j.from)
+	case rosterJob:
+		c.callRoster(j.action)
 	}
 }
 
-// watch waits for a newer configuration and returns the pause before the next
-// watch.
-func (c *Core) watch() time.Duration {
-	revision := c.config.View().Value.Revision
-	e, err := c.ports.KV.Watch(c.ctx, configKey, revision)
-	if err != nil {
-		c.log.Debug().Err(err).Msg("configuration watch failed")
-		return watchPause
-	}
-	if e.Revision > revision {
-		c.accept(e)
-	}
-	return 0
-}
-
-// accept installs a configuration that the store or a peer gave.
-func (c *Core) accept(e store.Entry) {
-	value, err := codec.DecodeValue(e.Value, e.Revision)
-	if err != nil {
-		c.log.Error().Err(err).Uint64("revision", e.Revision).Msg("configuration unreadable")
-		return
-	}
-	c.mu.Lock()
-	accepted := c.config.Accept(value)
-	if accepted {
-		c.value = e.Value
-	}
-	c.mu.Unlock()
-	if !accepted {
-		return
-	}
-	c.log.Info().Uint64("revision", e.Revision).Msg("configuration in force")
-	c.own()
-	if err := c.bus.Publish(event.ConfigAccepted{Revision: e.Revision}); err != nil {
-		c.log.Warn().Err(err).Msg("event dropped")
-	}
-}
-
-// refreshHosts reads the platform's host list.
-func (c *Core) refreshHosts() {
+// refreshHosts reads the platform's host list. The own zone's leaving hosts
+// stay in it, as only their heartbeats tell when they stop.
+func (c *Core) refreshHosts(j hostsJob) {
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
 	list, err := c.ports.Hosts.List(ctx)
 	if err != nil {
 		c.log.Debug().Err(err).Msg("host list unavailable")
+		c.schedule(retry(j.failures), hostsJob{failures: j.failures + 1})
 		return
 	}
 	var hosts []member.Host
 	for _, h := range list {
-		if h.Kind == store.KindEntry && h.State == store.HostLive {
+		if h.Kind == store.KindEntry && (h.State == store.HostLive || h.Zone == c.self.Zone) {
 			hosts = append(hosts, member.Host{Name: h.Name, Zone: h.Zone, Peer: h.Peer, Beat: h.Beat})
 		}
 	}
-	if c.members.Learn(hosts) {
-		c.own()
-	}
-}
-
-// own makes the owner engine hold the servers of this host's groups.
-func (c *Core) own() {
-	view := c.config.View()
-	self := c.members.Self()
-	var placed []config.Placed
-	for _, group := range view.Groups(self.Zone) {
-		if h, ok := c.members.Owner(group, self.Zone); !ok || h.Name != self.Name {
-			continue
-		}
-		for _, name := range view.GroupServers(group) {
-			p, _ := view.Server(name)
-			placed = append(placed, p)
-		}
-	}
-	c.owners.Own(placed)
+	c.members.Hint(hosts)
+	c.schedule(hostInterval, hostsJob{})
 }
 
 // refreshCatalogs asks the owners of servers whose catalog is unknown or
@@ -166,6 +136,9 @@
 		c.routes.Learn(known(c.owners.Catalog()))
 		return
 	}
+	if h, ok := c.members.Host(host); !ok || (h.Zone != c.self.Zone && !c.fresh(time.Now())) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
 	catalogs, err := c.ports.Peers.Catalogs(ctx, host)
@@ -186,3 +159,9 @@
 	}
 	return list
 }
+
+// gate lets one job at a time through.
+type gate struct{ taken atomic.Bool }
+
+func (g *gate) enter() bool { return g.taken.CompareAndSwap(false, true) }
+func (g *gate) leave()      { g.taken.Store(false) }
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,13 +31,21 @@
 	Notify(ctx context.Context, host, from string, e event.Event) error
 }
 
+// Beats sends heartbeats. Send does not wait for the receiver.
+type Beats interface {
+	Send(to member.Host, beat member.Beat) error
+}
+
 // Ports are the outside systems as a Core sees them. Trials put in-memory
 // fakes here, so that the whole core runs in virtual time.
 type Ports struct {
 	KV      store.KV
 	Hosts   store.Hosts
 	Peers   Peers
+	Beats   Beats
 	Backend owner.Backend
+	// Freshness is the rule of the design page if it is nil.
+	Freshness Freshness
 }
 
 // Core is an entry host without sockets: its aggregates, engines and control
@@ -55,24 +64,37 @@
 	bus     *event.Bus
 
 	control *work.Pool[controlJob]
+	pulse   *work.Pool[pulseJob]
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu    sync.Mutex
-	value []byte
+	// owning serialises changes of ownership. It comes before all tables in
+	// the lock order.
+	owning   sync.Mutex
+	fetching gate
+	// mu comes after owning and before all tables in the lock order.
+	mu        sync.Mutex
+	value     []byte
+	confirmed time.Time
+	// freshUntil is read by the owner's check, which takes no lock for it.
+	freshUntil atomic.Pointer[time.Time]
 }
 
 // NewCore returns a core that does nothing before Start.
 func NewCore(self member.Host, ports Ports, log *logs.Logs) *Core {
+	if ports.Freshness == nil {
+		ports.Freshness = freshness{}
+	}
 	c := &Core{
 		self:    self,
 		ports:   ports,
 		log:     log.Layer(logs.LayerConfig),
 		config:  config.NewTable(),
-		members: member.NewTable(self),
+		members: member.NewTable(self, member.DefaultTiming()),
 		routes:  route.NewTable(self.Zone),
 		bus:     event.NewBus(),
 	}
+	c.freshUntil.Store(&time.Time{})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.owned = owner.NewTable(c.permit)
 	c.owners = owner.NewEngine(c.owned, ports.Backend, courier{c}, owner.DefaultOptions())
@@ -82,11 +104,15 @@
 		Queue:   queryQueue,
 	})
 	c.control = work.NewPool(controlWorkers, controlQueue, c.handle)
+	c.pulse = work.NewPool(1, pulseQueue, c.handlePulse)
 	return c
 }
 
-// Start begins the control jobs.
-func (c *Core) Start() { c.startControl() }
+// Start begins the control jobs and the heartbeats.
+func (c *Core) Start() {
+	c.startControl()
+	c.tickAfter(0)
+}
 
 // Run answers a query. It implements entry.Runner.
 func (c *Core) Run(ctx context.Context, request query.Request) (query.Answer, error) {
@@ -102,17 +128,21 @@
 // Revision returns the revision of the configuration in force here.
 func (c *Core) Revision() uint64 { return c.config.View().Value.Revision }
 
+// Drain refuses new queries and waits for those in progress.
+func (c *Core) Drain() { c.queries.Close() }
+
 // Close refuses new work, lets requests in progress finish and waits.
 func (c *Core) Close() error {
 	c.queries.Close()
 	c.owners.Close()
 	c.cancel()
 	c.control.Close()
+	c.pulse.Close()
 	return c.bus.Close()
 }
 
 // permit is the owner's check before each dispatch.
-func (c *Core) permit(server string, _ time.Time) (fault.Reason, bool) {
+func (c *Core) permit(server string, now time.Time) (fault.Reason, bool) {
 	view := c.config.View()
 	placed, ok := view.Server(server)
 	if !ok {
@@ -121,5 +151,11 @@
 	if view.IsOut(placed.Server.Zone) {
 		return fault.ReasonZoneOut, false
 	}
+	if placed.Server.Zone != c.self.Zone && !c.fresh(now) {
+		return fault.ReasonStale, false
+	}
+	if !c.members.MayDispatch(placed.Group, now) {
+		return fault.ReasonTerm, false
+	}
 	return "", true
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"hyssophub/dial"
 	"hyssophub/entry"
@@ -32,83 +33,77 @@
 	peers    *peer.Client
 	backends *dial.Client
 
-	ready     atomic.Bool
-	listeners []*listener
+	beats *peer.Beats
+
+	ready   atomic.Bool
+	callers *listener
+	others  *listener
+	admin   *listener
 }
 
 // New starts an entry host.
 func New(settings setup.Settings, log *logs.Logs) (*Daemon, error) {
-	instruments, err := stats.New()
-	if err != nil {
+	d := &Daemon{settings: settings}
+	if err := d.build(log); err != nil {
+		_ = d.Close()
 		return nil, err
 	}
-	d := &Daemon{
-		settings: settings,
-		stats:    instruments,
-		platform: kvhttp.NewClient(settings.Platform),
-		backends: dial.NewClient(),
+	d.callers.serve(entry.NewHandler(d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load))
+	d.others.serve(peer.NewHandler(handler{d.core}))
+	d.admin.serve(d.adminHandler())
+	d.beats.Start(d.core.Beat)
+	d.core.Start()
+	d.ready.Store(true)
+	return d, nil
+}
+
+// build takes the addresses and makes the parts of the host.
+func (d *Daemon) build(log *logs.Logs) error {
+	var err error
+	if d.stats, err = stats.New(); err != nil {
+		return err
+	}
+	if d.callers, err = listen(d.settings.Caller); err != nil {
+		return err
+	}
+	if d.others, err = listen(d.settings.Peer); err != nil {
+		return err
+	}
+	if d.admin, err = listen(d.settings.Admin); err != nil {
+		return err
+	}
+	if d.beats, err = peer.ListenBeats(d.settings.Beat, d.settings.Zone); err != nil {
+		return err
 	}
+	d.platform = kvhttp.NewClient(d.settings.Platform)
+	d.backends = dial.NewClient()
 	d.peers = peer.NewClient(func(host string) (string, bool) { return d.core.Resolve(host) })
 	d.core = NewCore(
-		member.Host{Name: settings.Name, Zone: settings.Zone, Peer: settings.Peer, Beat: settings.Beat},
-		Ports{KV: d.platform, Hosts: d.platform, Peers: d.peers, Backend: d.backends},
+		member.Host{
+			Name:        d.settings.Name,
+			Zone:        d.settings.Zone,
+			Peer:        d.others.address(),
+			Beat:        d.beats.Address(),
+			Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Ports{KV: d.platform, Hosts: d.platform, Peers: d.peers, Beats: d.beats, Backend: d.backends},
 		log,
 	)
-	if err := d.listen(log); err != nil {
-		_ = d.Close()
-		return nil, err
-	}
-	d.core.Start()
-	d.ready.Store(true)
-	return d, nil
+	return nil
 }
 
 // CallerAddress returns the address that callers use.
-func (d *Daemon) CallerAddress() string { return d.listeners[0].address() }
+func (d *Daemon) CallerAddress() string { return d.callers.address() }
 
 // PeerAddress returns the address that other daemons use.
-func (d *Daemon) PeerAddress() string { return d.listeners[1].address() }
+func (d *Daemon) PeerAddress() string { return d.others.address() }
+
+// BeatAddress returns the address that other daemons send heartbeats to.
+func (d *Daemon) BeatAddress() string { return d.beats.Address() }
 
 // Revision returns the revision of the configuration in force here.
 func (d *Daemon) Revision() uint64 { return d.core.Revision() }
 
-// Close stops the host at once, but lets requests in progress finish.
-func (d *Daemon) Close() error {
-	d.ready.Store(false)
-	first := d.core.Close()
-	for _, l := range d.listeners {
-		if err := l.close(d.settings.Stop.Finish); err != nil && first == nil {
-			first = err
-		}
-	}
-	d.peers.Close()
-	d.backends.Close()
-	d.platform.Close()
-	if err := d.stats.Close(); err != nil && first == nil {
-		first = err
-	}
-	return first
-}
-
-func (d *Daemon) listen(log *logs.Logs) error {
-	callers := entry.NewHandler(d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load)
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{d.settings.Caller, callers},
-		{d.settings.Peer, peer.NewHandler(handler{d.core})},
-		{d.settings.Admin, d.adminHandler()},
-	} {
-		started, err := startListener(l.address, l.handler)
-		if err != nil {
-			return err
-		}
-		d.listeners = append(d.listeners, started)
-	}
-	return nil
-}
-
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.stats.Handler())
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -10,7 +10,8 @@
 	"github.com/samber/oops"
 )
 
-// listener is an HTTP server on one address.
+// listener is an HTTP server on one address. It listens before it serves, so
+// that the host knows its addresses before its parts are built.
 type listener struct {
 	net     net.Listener
 	http    *http.Server
@@ -20,26 +21,31 @@
 // headerTimeout ends connections that never send a request.
 const headerTimeout = 10 * time.Second
 
-func startListener(address string, handler http.Handler) (*listener, error) {
+func listen(address string) (*listener, error) {
 	n, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen on %s", address)
 	}
-	l := &listener{net: n, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
-	l.serving.Go(func() { _ = l.http.Serve(n) })
-	return l, nil
+	return &listener{net: n, http: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
+}
+
+func (l *listener) serve(handler http.Handler) {
+	l.http.Handler = handler
+	l.serving.Go(func() { _ = l.http.Serve(l.net) })
 }
 
 func (l *listener) address() string { return l.net.Addr().String() }
 
 // close refuses new connections and waits for requests in progress.
-func (l *listener) close(limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+func (l *listener) close(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := l.http.Shutdown(ctx)
 	if err != nil {
 		_ = l.http.Close()
 	}
+	// Shutdown does not know a listener that never served.
+	_ = l.net.Close()
 	l.serving.Wait()
 	return err
 }
--- /dev/null
+++ b/daemon/own.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/event"
+	"hyssophub/member"
+	"hyssophub/owner"
+)
+
+// passing is the part of owner.Engine that passes servers on.
+type passing interface {
+	// Release stops dispatch to servers and returns their state.
+	Release(servers []string) []owner.State
+	// Adopt continues with the state of the servers' last owner.
+	Adopt(states []owner.State)
+}
+
+// own makes the owner engine hold the servers of this host's groups, and
+// hands the others over to their new owners.
+func (c *Core) own() {
+	c.owning.Lock()
+	defer c.owning.Unlock()
+	view := c.config.View()
+	groups := make(map[string][]string)
+	for _, z := range view.Value.Manifest.Zones {
+		groups[z.Name] = view.Groups(z.Name)
+	}
+	c.members.Index(groups)
+	owned := make(map[string]bool)
+	var placed []config.Placed
+	for _, group := range groups[c.self.Zone] {
+		if h, ok := c.members.Owner(group, c.self.Zone); !ok || h.ID() != c.self.ID() {
+			continue
+		}
+		for _, name := range view.GroupServers(group) {
+			p, _ := view.Server(name)
+			placed = append(placed, p)
+			owned[name] = true
+		}
+	}
+	var lost []string
+	for _, p := range c.owned.Owned() {
+		if !owned[p.Server.Name] {
+			lost = append(lost, p.Server.Name)
+		}
+	}
+	states := c.release(lost)
+	c.owners.Own(placed)
+	c.handOver(states)
+}
+
+// release stops dispatch to servers and returns their state.
+func (c *Core) release(servers []string) []owner.State {
+	p, ok := any(c.owners).(passing)
+	if !ok || len(servers) == 0 {
+		return nil
+	}
+	return p.Release(servers)
+}
+
+// handOver sends the state of servers to their new owners. A successor that
+// does not get it starts at the cold floor.
+func (c *Core) handOver(states []owner.State) {
+	byHost := make(map[string][]owner.State)
+	for _, s := range states {
+		if host, ok := (directory{c}).OwnerOf(s.Server); ok && host != c.self.Name {
+			byHost[host] = append(byHost[host], s)
+		}
+	}
+	for host, list := range byHost {
+		ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
+		err := c.ports.Peers.Handover(ctx, host, c.self.Name, list)
+		cancel()
+		if err != nil {
+			c.log.Warn().Err(err).Str("host", host).Int("servers", len(list)).Msg("handover failed")
+		}
+	}
+}
+
+// Forced reports whether this host owns a server only because its last owner
+// is silent while the store does not answer. Such servers stay at the cold
+// floor.
+func (c *Core) Forced(server string) bool {
+	placed, ok := c.config.View().Server(server)
+	return ok && c.members.Forced(placed.Group)
+}
+
+// Announce tells the zone's other hosts that this one begins a planned stop.
+func (c *Core) Announce(ctx context.Context) {
+	for _, host := range c.members.Peers(time.Now()) {
+		if err := c.ports.Peers.Notify(ctx, host, c.self.Name, event.HostLeaving{Host: c.self.Name}); err != nil {
+			c.log.Debug().Err(err).Str("host", host).Msg("leaving not announced")
+		}
+	}
+}
+
+// leaveLimit ends the wait for the store on leaving. The heartbeats have told
+// the other hosts by then.
+const leaveLimit = 2 * time.Second
+
+// Leave ends the ownership of this host and hands its servers over.
+func (c *Core) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	c.act(c.members.Leave(time.Now()))
+	ticker := time.NewTicker(member.TickInterval)
+	defer ticker.Stop()
+	for !c.members.Left() && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	c.own()
+}
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hyssophub/event"
 	"hyssophub/fault"
@@ -18,6 +19,9 @@
 	if host == l.core.self.Name {
 		return l.core.owners.Submit(ctx, batch), nil
 	}
+	if h, ok := l.core.members.Host(host); ok && h.Zone != l.core.self.Zone && !l.core.fresh(time.Now()) {
+		return nil, fault.New(fault.NotRun{}, fault.ReasonStale, "host %s is in another zone", host)
+	}
 	return l.core.ports.Peers.Submit(ctx, host, batch)
 }
 
@@ -72,7 +76,12 @@
 func (h handler) Catalogs() []shard.Catalog { return h.core.owners.Catalog() }
 
 // Handover implements peer.Handler.
-func (h handler) Handover(string, []owner.State) {}
+func (h handler) Handover(from string, states []owner.State) {
+	h.core.log.Debug().Str("host", from).Int("servers", len(states)).Msg("handover received")
+	if p, ok := any(h.core.owners).(passing); ok {
+		p.Adopt(states)
+	}
+}
 
 // Notify implements peer.Handler.
 func (h handler) Notify(_ string, e event.Event) {
--- /dev/null
+++ b/member/action.go
@@ -0,0 +1,35 @@
+package member
+
+// Action is what membership wants done. The interface is sealed.
+type Action interface{ action() }
+
+type (
+	// SendBeat sends a heartbeat.
+	SendBeat struct {
+		To   Host
+		Beat Beat
+	}
+	// ReadRoster reads the zone's roster from the store. Call numbers the
+	// calls, so that late answers do not count as current ones.
+	ReadRoster struct{ Call uint64 }
+	// SwapRoster writes the zone's roster if its revision in the store is
+	// still Revision.
+	SwapRoster struct {
+		Call     uint64
+		Revision uint64
+		Roster   Roster
+	}
+	// OwnershipChanged says that other groups may be this host's now.
+	OwnershipChanged struct{}
+	// FetchConfig asks a host for a configuration newer than the one here.
+	FetchConfig struct{ From string }
+	// Confirm passes on a store confirmation of a peer at equal revision.
+	Confirm struct{ Beat Beat }
+)
+
+func (SendBeat) action()         {}
+func (ReadRoster) action()       {}
+func (SwapRoster) action()       {}
+func (OwnershipChanged) action() {}
+func (FetchConfig) action()      {}
+func (Confirm) action()          {}
--- /dev/null
+++ b/member/beat.go
@@ -0,0 +1,47 @@
+package member
+
+import "time"
+
+// Beat is a heartbeat.
+type Beat struct {
+	From Host
+	// Seq increases with each round of heartbeats of this start.
+	Seq uint64
+	// Echo names the newest heartbeat received from the recipient. It is
+	// absent (zero) for hosts that are not in the sender's roster.
+	EchoIncarnation uint64
+	EchoSeq         uint64
+	// Known says that the sender has recently heard from the recipient.
+	Known bool
+	// Epoch is the roster that the sender has adopted.
+	Epoch uint64
+	// Roster is sent to hosts that have an older one.
+	Roster *Roster
+	// Revision is the configuration in force at the sender.
+	Revision uint64
+	// Confirmed is the age of the sender's store confirmation, and negative
+	// if it has none.
+	Confirmed time.Duration
+	// Leaving says that the sender dispatches nothing any more.
+	Leaving bool
+	// Reports are what watchers know of the zones.
+	Reports []Report
+}
+
+// Report is what a zone's watchers say of it.
+type Report struct {
+	Zone string
+	// Age is the time since the report was made; a receiver adds its own.
+	Age time.Duration
+	// Store says that the zone's watchers reach the store.
+	Store bool
+	// Absent names listed hosts of the zone that own nothing.
+	Absent []string
+}
+
+// Status is what the configuration aggregate tells membership to send.
+type Status struct {
+	Revision uint64
+	// Confirmed is the time of the last store confirmation, or zero.
+	Confirmed time.Time
+}
--- a/member/host.go
+++ b/member/host.go
@@ -16,23 +16,51 @@
 	Incarnation uint64
 }
 
+// ID identifies one start of a host.
+type ID struct {
+	Name        string
+	Incarnation uint64
+}
+
+// ID returns the identity of this start of the host.
+func (h Host) ID() ID { return ID{Name: h.Name, Incarnation: h.Incarnation} }
+
 // Timing holds the intervals of membership.
 type Timing struct {
 	// Interval is the time between two heartbeats to a peer.
 	Interval time.Duration
+	// Wide is the interval in zones of more than wideZone members and between
+	// zones.
+	Wide time.Duration
 	// Term is how long after sending a heartbeat its echo permits dispatch.
 	Term time.Duration
+	// Suspect is the silence after which a peer is written out of the roster.
+	// It is below Term, so that a dead peer's missing echo stops nobody.
+	Suspect time.Duration
 	// Evict is the silence after which a peer is evicted. It exceeds Term, so
 	// that a predecessor stops before its successor starts.
 	Evict time.Duration
+	// Patience is how long the store may take to answer before heartbeats
+	// alone decide.
+	Patience time.Duration
 }
 
-// DefaultTiming returns the intervals for zones of up to 16 daemons. A dead
-// owner is replaced after Evict plus one Interval, within the 2 s target.
+// wideZone is the number of members above which heartbeats use Timing.Wide.
+const wideZone = 16
+
+// DefaultTiming returns the product's intervals. A dead owner is replaced
+// after Evict plus one tick, within the 2 s target.
 func DefaultTiming() Timing {
 	return Timing{
 		Interval: 250 * time.Millisecond,
+		Wide:     500 * time.Millisecond,
 		Term:     time.Second,
+		Suspect:  700 * time.Millisecond,
 		Evict:    1300 * time.Millisecond,
+		Patience: 300 * time.Millisecond,
 	}
 }
+
+// TickInterval is how often Table.Tick is due. It bounds the delay of an
+// eviction, and a gap of half a term between ticks means that the host paused.
+const TickInterval = 100 * time.Millisecond
--- /dev/null
+++ b/member/model_test.go
@@ -0,0 +1,192 @@
+package member
+
+import (
+	"fmt"
+	"time"
+)
+
+// Figures of the model.
+const (
+	modelStep  = 10 * time.Millisecond
+	modelDelay = 10 * time.Millisecond
+	modelStore = 20 * time.Millisecond
+)
+
+var modelStart = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+// model runs the decisions of one zone's hosts in a simulated network with a
+// simulated store.
+type model struct {
+	now      time.Time
+	hosts    []*modelHost
+	roster   Roster
+	down     bool
+	cut      map[[2]int]bool
+	calls    []modelCall
+	groups   []string
+	overlaps []string
+}
+
+type modelHost struct {
+	host   Host
+	table  *Table
+	dead   bool
+	paused bool
+	tick   time.Time
+}
+
+// modelCall is a message or store call that takes effect later.
+type modelCall struct {
+	at  time.Time
+	run func()
+}
+
+func newModel(hosts int) *model {
+	m := &model{now: modelStart, cut: make(map[[2]int]bool)}
+	for i := range 12 {
+		m.groups = append(m.groups, fmt.Sprintf("a/judging/%d", i))
+	}
+	for i := range hosts {
+		m.hosts = append(m.hosts, &modelHost{})
+		m.start(i)
+	}
+	return m
+}
+
+// start replaces a host by a new incarnation.
+func (m *model) start(i int) {
+	h := m.hosts[i]
+	name := fmt.Sprintf("h%d", i)
+	*h = modelHost{host: Host{Name: name, Zone: "a", Peer: name, Beat: name, Incarnation: uint64(m.now.UnixNano())}}
+	h.table = NewTable(h.host, DefaultTiming())
+	var hints []Host
+	for j := range m.hosts {
+		name := fmt.Sprintf("h%d", j)
+		hints = append(hints, Host{Name: name, Zone: "a", Peer: name, Beat: name})
+	}
+	h.table.Hint(hints)
+	h.table.Index(map[string][]string{"a": m.groups})
+}
+
+func (m *model) after(delay time.Duration, run func()) {
+	m.calls = append(m.calls, modelCall{at: m.now.Add(delay), run: run})
+}
+
+// run advances time and records every moment at which two hosts may dispatch
+// to one group.
+func (m *model) run(d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end); {
+		m.now = m.now.Add(modelStep)
+		m.check()
+		due := m.calls
+		m.calls = nil
+		for _, c := range due {
+			if c.at.After(m.now) {
+				m.calls = append(m.calls, c)
+				continue
+			}
+			c.run()
+		}
+		for i, h := range m.hosts {
+			if !h.dead && !h.paused && m.now.Sub(h.tick) >= TickInterval {
+				h.tick = m.now
+				m.do(i, h, h.table.Tick(m.now))
+			}
+		}
+		m.check()
+	}
+}
+
+func (m *model) check() {
+	for _, g := range m.groups {
+		if owners := m.dispatchers(g); len(owners) > 1 && len(m.overlaps) < 5 {
+			m.overlaps = append(m.overlaps, fmt.Sprintf("%s %s %v", m.now.Sub(modelStart), g, owners))
+		}
+	}
+}
+
+func (m *model) dispatchers(group string) []string {
+	var names []string
+	for _, h := range m.hosts {
+		if !h.dead && !h.paused && h.table.MayDispatch(group, m.now) {
+			names = append(names, h.host.Name)
+		}
+	}
+	return names
+}
+
+func (m *model) do(i int, h *modelHost, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case SendBeat:
+			m.send(i, a)
+		case ReadRoster:
+			m.call(i, h, a.Call, func() {})
+		case SwapRoster:
+			m.call(i, h, a.Call, func() {
+				if a.Revision == m.roster.Revision {
+					m.roster = a.Roster
+					m.roster.Revision = a.Revision + 1
+				}
+			})
+		case OwnershipChanged, FetchConfig, Confirm:
+		}
+	}
+}
+
+func (m *model) send(from int, a SendBeat) {
+	for to, h := range m.hosts {
+		if h.host.Name != a.To.Name || m.cut[[2]int{from, to}] {
+			continue
+		}
+		m.after(modelDelay, func() { m.deliver(to, a.Beat) })
+	}
+}
+
+// deliver hands a message to a host; a paused host gets it on waking.
+func (m *model) deliver(to int, b Beat) {
+	h := m.hosts[to]
+	switch {
+	case h.dead:
+	case h.paused:
+		m.after(modelStep, func() { m.deliver(to, b) })
+	default:
+		m.do(to, h, h.table.Receive(b, m.now))
+	}
+}
+
+func (m *model) call(i int, h *modelHost, call uint64, effect func()) {
+	table := h.table
+	m.after(modelStore/2, func() {
+		down := m.down
+		if !down {
+			effect()
+		}
+		answer := m.roster
+		m.after(modelStore/2, func() { m.reply(i, table, call, answer, down) })
+	})
+}
+
+func (m *model) reply(i int, table *Table, call uint64, roster Roster, down bool) {
+	h := m.hosts[i]
+	switch {
+	case h.dead || h.table != table:
+	case h.paused:
+		m.after(modelStep, func() { m.reply(i, table, call, roster, down) })
+	case down:
+		m.do(i, h, table.StoreFailed(call, m.now))
+	default:
+		m.do(i, h, table.Rostered(call, roster, m.now))
+	}
+}
+
+// served counts the groups that exactly one host may dispatch to.
+func (m *model) served() int {
+	n := 0
+	for _, g := range m.groups {
+		if len(m.dispatchers(g)) == 1 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/member/send.go
@@ -0,0 +1,280 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// freshReport is the age up to which a store confirmation counts as reaching
+// the store; it equals the freshness bound.
+const freshReport = 1500 * time.Millisecond
+
+// reportPause is the time between two rounds that carry the other zones'
+// reports. Hosts need them for freshness only while the store does not
+// confirm; in every round they would double a watcher's traffic.
+const reportPause = 3 * time.Second
+
+// forget is the silence after which the record of an unlisted host is dropped.
+const forget = 10 * time.Second
+
+// Receive takes a heartbeat.
+func (t *Table) Receive(b Beat, now time.Time) []Action {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b.From.Name == t.self.Name {
+		return nil
+	}
+	var actions []Action
+	if t.learnReports(b, now) {
+		t.index()
+		actions = append(actions, OwnershipChanged{})
+	}
+	if b.From.Zone == t.self.Zone {
+		actions = append(actions, t.hear(b, now)...)
+	}
+	switch {
+	case b.Revision > t.status.Revision:
+		actions = append(actions, FetchConfig{From: b.From.Name})
+	case b.Confirmed >= 0:
+		actions = append(actions, Confirm{Beat: b})
+	}
+	return actions
+}
+
+// hear takes a heartbeat from the own zone.
+func (t *Table) hear(b Beat, now time.Time) []Action {
+	id := b.From.ID()
+	r, ok := t.peers[id]
+	if !ok {
+		r = &record{host: b.From}
+		t.peers[id] = r
+	}
+	if b.Seq <= r.seq {
+		return nil
+	}
+	r.seq, r.heard, r.epoch = b.Seq, now, b.Epoch
+	r.leaving = r.leaving || b.Leaving
+	r.known = b.Known
+	if b.From.Beat != "" {
+		r.host = b.From
+	}
+	t.learnEcho(r, b)
+	if !r.leaving {
+		delete(t.down, id)
+	}
+	newer := b.Roster != nil && b.Roster.Epoch > t.roster.Epoch
+	if newer {
+		t.adopt(*b.Roster, now)
+	}
+	var actions []Action
+	if t.settle(now) {
+		actions = append(actions, OwnershipChanged{})
+	}
+	if newer || (b.Epoch < t.roster.Epoch && b.Epoch > 0) {
+		actions = append(actions, t.send(now, []Host{t.address(r)})...)
+	}
+	return actions
+}
+
+func (t *Table) address(r *record) Host {
+	if h, ok := t.find(r.host.Name); ok {
+		return h
+	}
+	return r.host
+}
+
+// learnEcho extends the term by an echo of a heartbeat sent after the last
+// pause.
+func (t *Table) learnEcho(r *record, b Beat) {
+	if b.EchoIncarnation != t.self.Incarnation || b.EchoSeq > t.seq || b.EchoSeq+sentRing <= t.seq {
+		return
+	}
+	sent := t.sent[b.EchoSeq%sentRing]
+	if sent.After(r.echoed) && !sent.Before(t.resumed) {
+		r.echoed = sent
+	}
+}
+
+// learnReports keeps newer reports of other zones and returns true if the
+// owners there changed.
+func (t *Table) learnReports(b Beat, now time.Time) bool {
+	moved := false
+	for _, report := range b.Reports {
+		at := now.Add(-report.Age)
+		old, ok := t.zones[report.Zone]
+		if report.Zone == t.self.Zone || (ok && !at.After(old.at)) {
+			continue
+		}
+		moved = moved || !slices.Equal(old.report.Absent, report.Absent)
+		t.zones[report.Zone] = zoneReport{report: report, at: at}
+	}
+	return moved
+}
+
+// sendDue returns the heartbeats that are due.
+func (t *Table) sendDue(now time.Time) []Action {
+	interval := t.timing.Interval
+	if len(t.roster.Members) > wideZone {
+		interval = t.timing.Wide
+	}
+	var to []Host
+	// Half a tick absorbs the jitter of the ticks.
+	if now.Sub(t.lastSend) >= interval-TickInterval/2 {
+		t.lastSend = now
+		t.prune(now)
+		to = append(to, t.targets()...)
+	}
+	if now.Sub(t.lastWide) >= t.timing.Wide-TickInterval/2 && t.watches() {
+		t.lastWide = now
+		t.rounds++
+		to = append(to, t.abroad()...)
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return t.send(now, to)
+}
+
+// prune drops records of hosts that are gone for good.
+func (t *Table) prune(now time.Time) {
+	for id, r := range t.peers {
+		if _, rostered := t.roster.member(id); !rostered && !t.wait[id] && now.Sub(r.heard) > forget {
+			delete(t.peers, id)
+		}
+	}
+}
+
+// targets returns the other hosts of the zone: members, listed hosts and
+// those heard from.
+func (t *Table) targets() []Host {
+	seen := map[string]bool{t.self.Name: true}
+	var to []Host
+	add := func(name string) {
+		if seen[name] {
+			return
+		}
+		seen[name] = true
+		if h, ok := t.find(name); ok && h.Beat != "" {
+			to = append(to, h)
+		}
+	}
+	for _, m := range t.roster.Members {
+		add(m.Host.Name)
+	}
+	for name, h := range t.hints {
+		if h.Zone == t.self.Zone {
+			add(name)
+		}
+	}
+	for id := range t.peers {
+		add(id.Name)
+	}
+	slices.SortFunc(to, byName)
+	return to
+}
+
+// abroad returns the watchers of the other zones.
+func (t *Table) abroad() []Host {
+	zones := make(map[string]bool)
+	for _, h := range t.hints {
+		zones[h.Zone] = h.Zone != t.self.Zone
+	}
+	var to []Host
+	for zone, other := range zones {
+		// The rounds alternate between the watchers of a zone.
+		if w := t.watchers(zone); other && len(w) > 0 && w[t.rounds%uint64(len(w))].Beat != "" {
+			to = append(to, w[t.rounds%uint64(len(w))])
+		}
+	}
+	slices.SortFunc(to, byName)
+	return to
+}
+
+func byName(a, b Host) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	}
+	return 0
+}
+
+// send returns one round of heartbeats.
+func (t *Table) send(now time.Time, to []Host) []Action {
+	t.seq++
+	t.sent[t.seq%sentRing] = now
+	base := Beat{
+		From:      Host{Name: t.self.Name, Zone: t.self.Zone, Incarnation: t.self.Incarnation},
+		Seq:       t.seq,
+		Epoch:     t.roster.Epoch,
+		Revision:  t.status.Revision,
+		Confirmed: -1,
+		Leaving:   t.leaving,
+	}
+	if !t.status.Confirmed.IsZero() {
+		base.Confirmed = now.Sub(t.status.Confirmed)
+	}
+	if _, in := t.roster.member(t.self.ID()); !in {
+		// Members may not know a newcomer's addresses yet.
+		base.From = t.self
+	}
+	home, abroad := t.reports(now)
+	actions := make([]Action, 0, len(to))
+	for _, h := range to {
+		b := base
+		if h.Zone == t.self.Zone {
+			b.Reports = home
+			t.answer(&b, h)
+		} else {
+			b.Reports = abroad
+		}
+		actions = append(actions, SendBeat{To: h, Beat: b})
+	}
+	return actions
+}
+
+// answer adds what depends on the recipient: the echo, if it is a member, and
+// the roster, if it has an older one.
+func (t *Table) answer(b *Beat, to Host) {
+	r, ok := t.newest(to.Name)
+	if !ok {
+		return
+	}
+	b.Known = t.lastTick.Sub(r.heard) < t.timing.Suspect
+	if _, in := t.roster.member(r.host.ID()); in {
+		b.EchoIncarnation, b.EchoSeq = r.host.Incarnation, r.seq
+	}
+	if r.epoch < t.roster.Epoch {
+		roster := t.roster
+		b.Roster = &roster
+	}
+}
+
+// reports returns what a watcher tells its own zone and the others.
+func (t *Table) reports(now time.Time) (home, abroad []Report) {
+	if !t.watches() {
+		return nil, nil
+	}
+	confirmed := !t.status.Confirmed.IsZero() && now.Sub(t.status.Confirmed) < freshReport
+	if !confirmed || now.Sub(t.lastReport) >= reportPause {
+		t.lastReport = now
+		for _, z := range t.zones {
+			report := z.report
+			report.Age = now.Sub(z.at)
+			if report.Age < forget {
+				home = append(home, report)
+			}
+		}
+	}
+	slices.SortFunc(home, func(a, b Report) int { return byName(Host{Name: a.Zone}, Host{Name: b.Zone}) })
+	own := Report{Zone: t.self.Zone, Store: confirmed}
+	live := t.live(t.self.Zone)
+	for _, h := range t.hints {
+		if h.Zone == t.self.Zone && !slices.ContainsFunc(live, func(l Host) bool { return l.Name == h.Name }) {
+			own.Absent = append(own.Absent, h.Name)
+		}
+	}
+	slices.Sort(own.Absent)
+	return home, []Report{own}
+}
--- /dev/null
+++ b/peer/beat_test.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/member"
+)
+
+func benchZone(size int) []member.Host {
+	hosts := make([]member.Host, size)
+	for i := range hosts {
+		address := fmt.Sprintf("10.4.%d.%d:7003", i/200, i%200)
+		hosts[i] = member.Host{Name: fmt.Sprintf("entry-a-%03d", i), Zone: "zone-a", Peer: address, Beat: address, Incarnation: 1772345678901 + uint64(i)}
+	}
+	return hosts
+}
+
+// Guards against fields that get lost between hosts, and against heartbeats
+// that do not arrive over a real socket.
+func TestBeatsCarryAllFields(t *testing.T) {
+	hosts := benchZone(3)
+	a, err := ListenBeats("127.0.0.1:0", "zone-a")
+	require.NoError(t, err)
+	b, err := ListenBeats("127.0.0.1:0", "zone-a")
+	require.NoError(t, err)
+	got := make(chan member.Beat, 1)
+	b.Start(func(beat member.Beat) { got <- beat })
+	want := member.Beat{
+		From: hosts[0], Seq: 7, EchoIncarnation: 8, EchoSeq: 9, Known: true, Epoch: 3, Revision: 4,
+		Confirmed: 20 * time.Millisecond, Leaving: true,
+		Roster:  &member.Roster{Revision: 5, Epoch: 6, Members: []member.Member{{Host: hosts[1], Role: member.Standby}}},
+		Reports: []member.Report{{Zone: "zone-b", Age: time.Second, Store: true, Absent: []string{"x"}}},
+	}
+	require.NoError(t, a.Send(member.Host{Name: "b", Zone: "zone-a", Beat: b.Address()}, want))
+	require.Equal(t, want, <-got)
+	require.NoError(t, a.Close())
+	require.NoError(t, b.Close())
+}
+
+// headers are the bytes of UDP and IPv4 headers of a datagram.
+const headers = 28
+
+// benchTable returns the table of the first host of a zone whose hosts all
+// hear each other, with the heartbeat that each of them sends.
+func benchTable(hosts []member.Host) (*member.Table, time.Time) {
+	now := time.Now()
+	t := member.NewTable(hosts[0], member.DefaultTiming())
+	t.Hint(hosts)
+	t.Tick(now)
+	roster := member.Roster{Epoch: 4000, Revision: 1}
+	for _, h := range hosts {
+		roster.Members = append(roster.Members, member.Member{Host: h, Role: member.Active})
+	}
+	t.Rostered(1, roster, now)
+	t.SetStatus(member.Status{Revision: 30000, Confirmed: now})
+	return t, now
+}
+
+// BenchmarkBeats measures one second of a host's heartbeats: the decisions,
+// the encoding and the socket, for sending and receiving.
+func BenchmarkBeats(b *testing.B) {
+	for _, size := range []int{3, 9, 27, 73} {
+		b.Run(fmt.Sprintf("hosts=%d", size), func(b *testing.B) {
+			hosts := benchZone(size)
+			sink, err := ListenBeats("127.0.0.1:0", "zone-a")
+			require.NoError(b, err)
+			defer func() { require.NoError(b, sink.Close()) }()
+			table, now := benchTable(hosts)
+			var sent, received, bytes uint64
+			seq := uint64(1 << 20)
+			for b.Loop() {
+				for range time.Second / member.TickInterval {
+					now = now.Add(member.TickInterval)
+					for _, action := range table.Tick(now) {
+						beat, ok := action.(member.SendBeat)
+						if !ok {
+							continue
+						}
+						require.NoError(b, sink.Send(member.Host{Zone: "zone-a", Beat: sink.Address()}, beat.Beat))
+						sent++
+						// The peer's heartbeat has the same fields.
+						seq++
+						answer := beat.Beat
+						answer.From = member.Host{Name: beat.To.Name, Incarnation: beat.To.Incarnation}
+						answer.Seq, answer.EchoIncarnation, answer.EchoSeq = seq, hosts[0].Incarnation, beat.Beat.Seq
+						answer.Roster = nil
+						data, err := EncodeBeat(answer)
+						require.NoError(b, err)
+						got, err := DecodeBeat(data, "zone-a")
+						require.NoError(b, err)
+						table.Receive(got, now)
+						received += uint64(len(data) + headers)
+					}
+				}
+			}
+			_, bytes = sink.Traffic()
+			bytes += sent * headers
+			b.ReportMetric(float64(bytes)/float64(sent), "B/beat")
+			b.ReportMetric(float64(bytes+received)/float64(b.N), "B/s-both-ways")
+		})
+	}
+}
--- /dev/null
+++ b/peer/beats.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/samber/oops"
+
+	"hyssophub/member"
+)
+
+// maxBeat is the size of the largest datagram in bytes.
+const maxBeat = 64 << 10
+
+// Beats sends and receives heartbeats over UDP.
+type Beats struct {
+	conn    *net.UDPConn
+	zone    string
+	reading sync.WaitGroup
+	sent    atomic.Uint64
+	bytes   atomic.Uint64
+}
+
+// ListenBeats returns Beats of a host in a zone at a UDP address. Receiving
+// begins with Start.
+func ListenBeats(address, zone string) (*Beats, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, oops.Wrapf(err, "heartbeat address %s", address)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, oops.Wrapf(err, "listen on %s", address)
+	}
+	return &Beats{conn: conn, zone: zone}, nil
+}
+
+// Start calls handle for each heartbeat received until Close. Datagrams that
+// are no heartbeats are dropped.
+func (b *Beats) Start(handle func(member.Beat)) {
+	b.reading.Go(func() {
+		buffer := make([]byte, maxBeat)
+		for {
+			n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			if beat, err := DecodeBeat(buffer[:n], b.zone); err == nil {
+				handle(beat)
+			}
+		}
+	})
+}
+
+// Send sends a heartbeat. Lost datagrams are not repeated: the next heartbeat
+// replaces them.
+func (b *Beats) Send(to member.Host, beat member.Beat) error {
+	at, err := netip.ParseAddrPort(to.Beat)
+	if err != nil {
+		return oops.Wrapf(err, "heartbeat address of host %s", to.Name)
+	}
+	if to.Zone == b.zone {
+		// The zone's name is a tenth of a heartbeat within the zone.
+		beat.From.Zone = ""
+	}
+	data, err := EncodeBeat(beat)
+	if err != nil {
+		return oops.Wrapf(err, "heartbeat to host %s", to.Name)
+	}
+	n, err := b.conn.WriteToUDPAddrPort(data, at)
+	b.sent.Add(1)
+	b.bytes.Add(uint64(n))
+	return err
+}
+
+// Traffic returns the number of heartbeats sent and their bytes, without the
+// headers of UDP and IP.
+func (b *Beats) Traffic() (beats, size uint64) { return b.sent.Load(), b.bytes.Load() }
+
+// Address returns the address that other hosts send to.
+func (b *Beats) Address() string { return b.conn.LocalAddr().String() }
+
+// Close stops receiving and waits for it.
+func (b *Beats) Close() error {
+	err := b.conn.Close()
+	b.reading.Wait()
+	return err
+}
