Stop an entry host in a planned way

Cause: SIGTERM closed the host at once, without notice to the balancer or the other hosts.

Change: serve begins a planned stop on the first signal and ends the process on the second one.

Result: builds; no run of the signals yet.

Conclusion: needs a test with several hosts.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -8,13 +9,16 @@
 	"hyssophub/daemon"
 	"hyssophub/logs"
 	"hyssophub/setup"
+
+	"github.com/samber/oops"
 )
 
 type serveCmd struct {
 	Config string `required:"" help:"Settings file of the entry host." type:"path"`
 }
 
-// Run serves until SIGTERM or an interrupt.
+// Run serves until SIGTERM or an interrupt, which begins a planned stop. A
+// second signal ends the process at once.
 func (c *serveCmd) Run(cli *root, streams *Streams) error {
 	log, err := logs.New(streams.Err, cli.Log)
 	if err != nil {
@@ -32,5 +36,15 @@
 		return err
 	}
 	<-signals
-	return d.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(ctx) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-signals:
+		// The process exits without waiting for the planned stop.
+		return oops.Errorf("ended by a second signal")
+	}
 }
