Keep zones in contact that both reported no owners

Cause: while zones start, each one's report names all its listed hosts as absent. Two zones that took these reports had no watcher to send to, and neither heard of the other again; a host then was not fresh in an outage.

Change: a zone without watchers gets its heartbeats at its listed hosts in turn, and reports older than 5 s count no more.

Conclusion: the host list stays the last resort for finding hosts.

--- a/member/send.go
+++ b/member/send.go
@@ -183,9 +183,18 @@
 	}
 	var to []Host
 	for zone, other := range zones {
+		if !other {
+			continue
+		}
+		w := t.watchers(zone)
+		if len(w) == 0 {
+			// Two zones that each reported no owners while they started would
+			// otherwise never hear from each other again.
+			w = t.listed(zone)
+		}
 		// The rounds alternate between the watchers of a zone.
-		if w := t.watchers(zone); other && len(w) > 0 && w[t.rounds%uint64(len(w))].Beat != "" {
-			to = append(to, w[t.rounds%uint64(len(w))])
+		if h := w[t.rounds%uint64(len(w))]; h.Beat != "" {
+			to = append(to, h)
 		}
 	}
 	slices.SortFunc(to, byName)
--- a/member/table.go
+++ b/member/table.go
@@ -129,14 +129,26 @@
 	if zone == t.self.Zone {
 		return t.owners()
 	}
-	absent := t.zones[zone].report.Absent
-	var live []Host
+	var absent []string
+	if z := t.zones[zone]; t.lastTick.Sub(z.at) < staleReport {
+		absent = z.report.Absent
+	}
+	return slices.DeleteFunc(t.listed(zone), func(h Host) bool { return slices.Contains(absent, h.Name) })
+}
+
+// staleReport is the age after which a zone's report counts no more. It
+// exceeds reportPause and the delays between zones.
+const staleReport = 5 * time.Second
+
+// listed returns the hosts of a zone on the platform's list, sorted by name.
+func (t *Table) listed(zone string) []Host {
+	var hosts []Host
 	for _, name := range slices.Sorted(maps.Keys(t.hints)) {
-		if h := t.hints[name]; h.Zone == zone && !slices.Contains(absent, name) {
-			live = append(live, h)
+		if h := t.hints[name]; h.Zone == zone {
+			hosts = append(hosts, h)
 		}
 	}
-	return live
+	return hosts
 }
 
 // owners returns the newest list of owners in the own zone.
