Run the signals of a planned stop against a process

Cause: the planned stop had no run, and the wait for the handover was fixed.

Change: scripts start a host as a process and signal it. The time limit of leaving is the setting stop.leave.

--- /dev/null
+++ b/cmds/serve_test.go
@@ -0,0 +1,100 @@
+package cmds
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/fakes"
+)
+
+// argsVariable makes the test binary run as the program itself.
+const argsVariable = "HYSSOPHUB_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(argsVariable) != "" {
+		os.Exit(Run(os.Args[1:], Streams{Out: os.Stdout, Err: os.Stderr}))
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a stop that drops out of the balancer too late, never ends,
+// or ignores a second signal.
+func TestServeScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/serve", func(t *testing.T, path string) {
+		platform, err := fakes.NewStore("")
+		require.NoError(t, err)
+		defer func() { require.NoError(t, platform.Close()) }()
+		caller := freeAddress(t)
+		var (
+			host   *exec.Cmd
+			stderr bytes.Buffer
+		)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "serve":
+				var notice string
+				d.ScanArgs(t, "notice", &notice)
+				host = serve(t, caller, platform.Address(), notice, &stderr)
+			case "ready":
+				var status int
+				d.ScanArgs(t, "status", &status)
+				waitReady(t, "http://"+caller+"/readyz", status)
+			case "term":
+				require.NoError(t, host.Process.Signal(syscall.SIGTERM))
+			case "wait":
+				start := time.Now()
+				_ = host.Wait()
+				return fmt.Sprintf("exit %d, in time %t\n%s", host.ProcessState.ExitCode(), time.Since(start) < readyLimit, stderr.String())
+			}
+			return ""
+		})
+	})
+}
+
+func serve(t *testing.T, caller, platform, notice string, stderr *bytes.Buffer) *exec.Cmd {
+	data, err := json.Marshal(map[string]any{
+		"name": "entry-a-1", "zone": "a", "caller": caller, "admin": "127.0.0.1:0", "peer": "127.0.0.1:0",
+		"beat": "127.0.0.1:0", "platform": platform, "stop": map[string]string{"notice": notice, "finish": "1s"},
+	})
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "host.json")
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	host := exec.Command(os.Args[0], "serve", "--config", file)
+	host.Env = append(os.Environ(), argsVariable+"=1")
+	host.Stderr = stderr
+	require.NoError(t, host.Start())
+	return host
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+// readyLimit ends each wait for the host.
+const readyLimit = 5 * time.Second
+
+func waitReady(t *testing.T, url string, status int) {
+	require.Eventually(t, func() bool {
+		response, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode == status
+	}, readyLimit, 10*time.Millisecond)
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"hyssophub/event"
 	"hyssophub/member"
 	"hyssophub/shard"
 	"hyssophub/store"
@@ -82,6 +83,9 @@
 		c.schedule(catalogInterval, j)
 	case ownJob:
 		c.own()
+		if err := c.bus.Publish(event.MembersChanged{Zone: c.self.Zone}); err != nil {
+			c.log.Warn().Err(err).Msg("event dropped")
+		}
 	case fetchJob:
 		c.fetch(j.from)
 	case rosterJob:
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -97,14 +97,9 @@
 	}
 }
 
-// leaveLimit ends the wait for the store on leaving. The heartbeats have told
-// the other hosts by then.
-const leaveLimit = 2 * time.Second
-
-// Leave ends the ownership of this host and hands its servers over.
+// Leave ends the ownership of this host and hands its servers over. It waits
+// for the roster without this host, at most until the end of ctx.
 func (c *Core) Leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
-	defer cancel()
 	c.act(c.members.Leave(time.Now()))
 	ticker := time.NewTicker(member.TickInterval)
 	defer ticker.Stop()
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -20,7 +20,9 @@
 	}
 	err := d.callers.close(ctx, d.settings.Stop.Finish)
 	d.core.Drain()
-	d.core.Leave(ctx)
+	leaving, cancel := context.WithTimeout(ctx, d.settings.Stop.Leave)
+	defer cancel()
+	d.core.Leave(leaving)
 	return errors.Join(err, d.Close())
 }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -38,12 +38,16 @@
 	Notice time.Duration
 	// Finish is how long requests in progress may take to end.
 	Finish time.Duration
+	// Leave is how long leaving the roster and the handover may take. The
+	// heartbeats tell the other hosts even if the store does not answer.
+	Leave time.Duration
 }
 
 // Defaults of the time limits.
 const (
 	defaultNotice = 5 * time.Second
 	defaultFinish = 30 * time.Second
+	defaultLeave  = 2 * time.Second
 )
 
 type wireSettings struct {
@@ -61,6 +65,7 @@
 type wireStop struct {
 	Notice string `json:"notice"`
 	Finish string `json:"finish"`
+	Leave  string `json:"leave"`
 }
 
 // Read reads and checks a settings file. The error names the file, each wrong
@@ -110,6 +115,8 @@
 	faults = append(faults, err)
 	settings.Stop.Finish, err = limit("stop.finish", w.Stop.Finish, defaultFinish)
 	faults = append(faults, err)
+	settings.Stop.Leave, err = limit("stop.leave", w.Stop.Leave, defaultLeave)
+	faults = append(faults, err)
 	return settings, errors.Join(faults...)
 }
 
