Check that every zone finds the owners after a takeover

Cause: the scripts showed owners, not whether other zones route to them.

Change: the state of a host counts the servers whose owner, as it sees it, holds them.

--- a/daemon/core_test.go
+++ b/daemon/core_test.go
@@ -92,11 +92,26 @@
 		if c.dead[i] {
 			continue
 		}
-		fmt.Fprintf(&b, "%s: revision %d fresh %t %s\n", hostName(i), core.Revision(), core.fresh(time.Now()), submit(core))
+		fmt.Fprintf(&b, "%s: revision %d fresh %t routed %d %s\n", hostName(i), core.Revision(), core.fresh(time.Now()), c.routed(core), submit(core))
 	}
 	return b.String()
 }
 
+// routed counts the servers whose owner, as a host sees it, holds them.
+func (c *cluster) routed(core *Core) int {
+	n := 0
+	for i := range servers {
+		name := fmt.Sprintf("s-%d", i)
+		host, _ := (directory{core}).OwnerOf(name)
+		if target, err := c.target(host); err == nil {
+			if _, ok := target.owned.Placed(name); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 var nextSub uint64
 
 func submit(core *Core) string {
