Check that a cut off host sends nothing to other zones

Cause: the freshness check before calls to other zones had no test.

Change: a script cuts a host off from the other zone and the store.

Result: 2 s after the cut its calls are refused with stale_configuration (not run), and 2 s after the cut ends it has the newer configuration.

Conclusion: freshness holds on the entry side; the owner's side of it is checked only by reading.

--- a/daemon/core_test.go
+++ b/daemon/core_test.go
@@ -65,6 +65,17 @@
 		c.mu.Lock()
 		c.down = d.HasArg("down")
 		c.mu.Unlock()
+	case "cut":
+		c.mu.Lock()
+		c.cut[i] = true
+		c.mu.Unlock()
+	case "heal":
+		c.mu.Lock()
+		clear(c.cut)
+		c.mu.Unlock()
+	case "send":
+		_, err := link{c.cores[i]}.Submit(context.Background(), hostName(0), shard.Batch{})
+		return fmt.Sprintln(err)
 	case "kill":
 		require.NoError(t, c.kill(i))
 	case "start":
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,11 @@
 type cluster struct {
 	zones []string
 
-	mu      sync.Mutex
-	cores   []*Core
-	dead    []bool
+	mu    sync.Mutex
+	cores []*Core
+	dead  []bool
+	// cut hosts reach only each other.
+	cut     []bool
 	paused  []chan struct{}
 	entries map[string]store.Entry
 	changed chan struct{}
@@ -45,6 +48,7 @@
 		zones:   zones,
 		cores:   make([]*Core, len(zones)),
 		dead:    make([]bool, len(zones)),
+		cut:     make([]bool, len(zones)),
 		paused:  make([]chan struct{}, len(zones)),
 		entries: make(map[string]store.Entry),
 		changed: make(chan struct{}),
@@ -126,7 +130,18 @@
 func (p port) failing() bool {
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	return p.cluster.down
+	return p.cluster.down || p.cluster.cut[p.host]
+}
+
+// target returns the core of another host that this host reaches.
+func (p port) target(host string) (*Core, error) {
+	core, err := p.cluster.target(host)
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	if err == nil && p.cluster.cut[p.host] != p.cluster.cut[slices.Index(p.cluster.cores, core)] {
+		return nil, errDown
+	}
+	return core, err
 }
 
 func (p port) Get(_ context.Context, key string) (store.Entry, error) {
@@ -144,7 +159,7 @@
 	defer c.mu.Unlock()
 	old := c.entries[key]
 	switch {
-	case c.down:
+	case c.down || c.cut[p.host]:
 		return store.Entry{}, store.ErrUnavailable
 	case old.Revision != revision:
 		return old, store.ErrConflict
@@ -201,7 +216,7 @@
 		<-paused
 	}
 	go func() {
-		if core, err := p.cluster.target(to.Name); err == nil {
+		if core, err := p.target(to.Name); err == nil {
 			core.Beat(beat)
 		}
 	}()
@@ -209,7 +224,7 @@
 }
 
 func (p port) Submit(ctx context.Context, host string, batch shard.Batch) ([]shard.Result, error) {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err != nil {
 		return nil, err
 	}
@@ -217,7 +232,7 @@
 }
 
 func (p port) Deliver(_ context.Context, host string, results []shard.Result) error {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err == nil {
 		handler{core}.Deliver(results)
 	}
@@ -225,7 +240,7 @@
 }
 
 func (p port) Fetch(_ context.Context, host string, revision uint64) ([]byte, uint64, error) {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -234,7 +249,7 @@
 }
 
 func (p port) Catalogs(_ context.Context, host string) ([]shard.Catalog, error) {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err != nil {
 		return nil, err
 	}
@@ -242,7 +257,7 @@
 }
 
 func (p port) Handover(_ context.Context, host, from string, states []owner.State) error {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err == nil {
 		handler{core}.Handover(from, states)
 	}
@@ -250,7 +265,7 @@
 }
 
 func (p port) Notify(_ context.Context, host, from string, e event.Event) error {
-	core, err := p.cluster.target(host)
+	core, err := p.target(host)
 	if err == nil {
 		handler{core}.Notify(from, e)
 	}
