--- a/config/fresh.go
+++ b/config/fresh.go
@@ -59,21 +59,19 @@
 		r.Confirmed = confirmed
 	}
 	t.reports[zone] = r
-	t.until = FreshUntil(t.view.homeZones, t.reports)
+	t.judge()
 }
 
 // Fresh reports whether the host is fresh by the reports received so far. It
 // is called for each sub-request to another zone, so Report does the work.
 func (t *Table) Fresh(now time.Time) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return !now.After(t.until)
+	return !now.After(*t.until.Load())
 }
 
 // Reports returns a copy of the zone reports.
 func (t *Table) Reports() map[string]ZoneReport {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	reports := make(map[string]ZoneReport, len(t.reports))
 	for z, r := range t.reports {
 		reports[z] = r
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -79,4 +79,4 @@
 }
 
 // AdminAddress returns the address of the administration API.
-func (d *Daemon) AdminAddress() string { return d.listeners[2].address() }
+func (d *Daemon) AdminAddress() string { return d.admin.address() }
--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -34,15 +34,6 @@
 // processor time is not counted as the tier's.
 const childVariable = "HYSSOPHUB_BENCH_CHILD"
 
-func TestMain(m *testing.M) {
-	if os.Getenv(childVariable) != "" {
-		runChild()
-		return
-	}
-	TuneMemory()
-	os.Exit(m.Run())
-}
-
 // runChild serves until its standard input ends.
 func runChild() {
 	for i := range benchServers {
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hyssophub/event"
 	"hyssophub/fault"
@@ -18,6 +19,9 @@
 	if host == l.core.self.Name {
 		return l.core.owners.Submit(ctx, batch), nil
 	}
+	if h, ok := l.core.members.Host(host); ok && h.Zone != l.core.self.Zone && !l.core.config.Fresh(time.Now()) {
+		return nil, fault.New(fault.NotRun{}, fault.ReasonStale, "host %s is in another zone", host)
+	}
 	return l.core.ports.Peers.Submit(ctx, host, batch)
 }
 
@@ -72,11 +76,13 @@
 func (h handler) Catalogs() []shard.Catalog { return h.core.owners.Catalog() }
 
 // Handover implements peer.Handler.
-func (h handler) Handover(string, []owner.State) {}
+func (h handler) Handover(_ string, states []owner.State) { h.core.owners.Adopt(states) }
 
 // Notify implements peer.Handler.
-func (h handler) Notify(_ string, e event.Event) {
-	if err := h.core.bus.Publish(e); err != nil {
-		h.core.log.Warn().Err(err).Str("reason", string(fault.ReasonStopping)).Msg("event dropped")
+func (h handler) Notify(from string, e event.Event) {
+	h.core.log.Debug().Str("host", from).Type("event", e).Msg("event received")
+	if drain, ok := e.(event.ServerDraining); ok {
+		h.core.drained(drain.Server)
 	}
+	h.core.publish(e)
 }
--- /dev/null
+++ b/daemon/spread.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+	"hyssophub/event"
+	"hyssophub/kvhttp"
+	"hyssophub/member"
+	"hyssophub/store"
+)
+
+// watch waits for a newer configuration at the store if this host is one of
+// the zone's watchers. The others learn the revision from heartbeats.
+func (c *Core) watch(j watchJob) {
+	if !c.members.Watches() {
+		c.schedule(idleWatch, watchJob{})
+		return
+	}
+	revision := c.Revision()
+	start := time.Now()
+	e, err := c.ports.KV.Watch(c.ctx, config.Key, revision)
+	if err != nil {
+		c.log.Debug().Err(err).Msg("configuration watch failed")
+		c.schedule(retry(j.failures), watchJob{failures: j.failures + 1})
+		return
+	}
+	confirmed := start
+	if e.Revision > revision {
+		c.accept(e)
+	} else if waited := start.Add(kvhttp.DefaultWait); !time.Now().Before(waited) {
+		// The store answered no earlier than after its wait.
+		confirmed = waited
+	}
+	c.confirm(confirmed)
+	c.schedule(0, watchJob{})
+}
+
+// fetchSpread separates the fetches of the hosts that learn of a revision at
+// the same time.
+const fetchSpread = 50 * time.Millisecond
+
+// fetch asks a host of a newer configuration for it. A failure needs no retry
+// here, as the next heartbeat starts a new fetch.
+func (c *Core) fetch(from string) {
+	defer c.fetching.leave()
+	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
+	defer cancel()
+	value, revision, err := c.ports.Peers.Fetch(ctx, from, c.Revision())
+	if err != nil {
+		c.log.Debug().Err(err).Str("host", from).Msg("configuration not fetched")
+		return
+	}
+	if len(value) > 0 {
+		c.accept(store.Entry{Key: config.Key, Value: value, Revision: revision})
+	}
+}
+
+// accept installs a configuration that the store or a peer gave. Older copies
+// have no effect.
+func (c *Core) accept(e store.Entry) {
+	value, err := codec.DecodeValue(e.Value, e.Revision)
+	if err != nil {
+		c.log.Error().Err(err).Uint64("revision", e.Revision).Msg("configuration unreadable")
+		return
+	}
+	c.mu.Lock()
+	accepted := c.config.Accept(value)
+	if accepted {
+		c.value = e.Value
+		c.announce()
+	}
+	c.mu.Unlock()
+	if !accepted {
+		return
+	}
+	c.log.Info().Uint64("revision", e.Revision).Msg("configuration in force")
+	c.own()
+	c.publish(event.ConfigAccepted{Revision: e.Revision})
+}
+
+// confirm notes that at the given time the store held nothing newer than the
+// configuration in force here.
+func (c *Core) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.confirmed) {
+		c.confirmed = at
+		c.announce()
+	}
+}
+
+// announce sets what the heartbeats say. The caller holds mu.
+func (c *Core) announce() {
+	c.members.SetStatus(member.Status{Revision: c.Revision(), Confirmed: c.confirmed})
+	c.judge(time.Now())
+}
+
+// judge tells the configuration what the zones know, from which it decides
+// whether this host may send to other zones. The caller holds mu.
+func (c *Core) judge(now time.Time) {
+	c.config.Report(c.self.Zone, now, c.confirmed)
+	reports := c.members.Reports()
+	if slices.ContainsFunc(reports, func(r member.ZoneReport) bool {
+		return r.Store && now.Sub(r.At) < config.FreshnessBound
+	}) {
+		// A zone reaches the store, so this is no store outage: only store
+		// answers count, which arrive with the heartbeats.
+		return
+	}
+	for _, r := range reports {
+		c.config.Report(r.Zone, r.At, time.Time{})
+	}
+}
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -22,14 +22,16 @@
 	http     *http.Server
 	serving  sync.WaitGroup
 
-	mu       sync.Mutex
-	entries  map[string]entry
-	revision uint64
-	changed  chan struct{}
-	leases   map[uint64]lease
-	hosts    []listing
-	fault    StoreFault
-	calls    map[string]int
+	mu      sync.Mutex
+	entries map[string]entry
+	// revisions are counted by key and outlive the key.
+	revisions map[string]uint64
+	granted   uint64
+	changed   chan struct{}
+	leases    map[uint64]lease
+	hosts     []listing
+	fault     StoreFault
+	calls     map[string]int
 	// writes counts the writes that took effect.
 	writes int
 	// watches counts the waiting watches.
@@ -73,11 +75,12 @@
 		return nil, err
 	}
 	s := &Store{
-		listener: listener,
-		entries:  make(map[string]entry),
-		changed:  make(chan struct{}),
-		leases:   make(map[uint64]lease),
-		calls:    make(map[string]int),
+		listener:  listener,
+		revisions: make(map[string]uint64),
+		entries:   make(map[string]entry),
+		changed:   make(chan struct{}),
+		leases:    make(map[uint64]lease),
+		calls:     make(map[string]int),
 	}
 	router := chi.NewRouter()
 	router.Use(s.gate)
@@ -224,8 +227,8 @@
 	if current := s.entries[key]; current.revision != previous {
 		return current, http.StatusConflict, false
 	}
-	s.revision++
-	e := entry{value: value, revision: s.revision, lease: leaseID}
+	s.revisions[key]++
+	e := entry{value: value, revision: s.revisions[key], lease: leaseID}
 	s.entries[key] = e
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -243,8 +246,8 @@
 	ms, _ := strconv.ParseInt(r.URL.Query().Get("ttl"), 10, 64)
 	ttl := time.Duration(ms) * time.Millisecond
 	s.mu.Lock()
-	s.revision++
-	id := s.revision
+	s.granted++
+	id := s.granted
 	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	lost := s.lose()
 	s.mu.Unlock()
