trial: Add the experiments in virtual time

Change: a script reader, a fleet of real cores over in-memory ports, a network with cuts, a backend model, a load generator and the baseline, with the scripts straggler, urgent, indexswap, leave and coldstart. daemon.Core gets Handler so that cores can be connected without sockets.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -13,6 +13,7 @@
 	"hyssophub/logs"
 	"hyssophub/member"
 	"hyssophub/owner"
+	"hyssophub/peer"
 	"hyssophub/query"
 	"hyssophub/route"
 	"hyssophub/shard"
@@ -93,6 +94,10 @@
 	return c.queries.Run(ctx, request)
 }
 
+// Handler returns the calls of other hosts that the core answers, so that
+// trials can connect cores without sockets.
+func (c *Core) Handler() peer.Handler { return handler{c} }
+
 // Resolve returns the peer address of a live host.
 func (c *Core) Resolve(host string) (string, bool) {
 	h, ok := c.members.Host(host)
--- /dev/null
+++ b/trial/baseline.go
@@ -0,0 +1,131 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/query"
+	"hyssophub/shard"
+)
+
+// attempts of the baseline: the first and three blind retries.
+const attempts = 4
+
+// Baseline is the policy that the product is compared with: round robin over
+// the replicas, limits that each host holds for itself, three blind retries,
+// no hedges and no snapshot.
+type Baseline struct {
+	manifest config.Manifest
+	backends *Backends
+	network  *Network
+	services map[string]*config.Service
+	hosts    []*baseHost
+}
+
+// baseHost is an entry host with its own turn and limits per server.
+type baseHost struct {
+	name  string
+	turn  map[string]*atomic.Uint64
+	slots map[string]chan struct{}
+}
+
+func newBaseline(manifest config.Manifest, backends *Backends, network *Network) *Baseline {
+	b := &Baseline{manifest: manifest, backends: backends, network: network, services: make(map[string]*config.Service)}
+	for i := range manifest.Services {
+		b.services[manifest.Services[i].Name] = &manifest.Services[i]
+	}
+	for _, z := range manifest.Zones {
+		for i := range z.Hosts {
+			h := &baseHost{
+				name:  z.Name + string(rune('1'+i)),
+				turn:  make(map[string]*atomic.Uint64),
+				slots: make(map[string]chan struct{}),
+			}
+			network.join(h.name, z.Name, nil)
+			for _, s := range manifest.Services {
+				h.turn[s.Name] = &atomic.Uint64{}
+				for _, server := range s.Servers {
+					h.slots[server.Name] = make(chan struct{}, s.Slots)
+				}
+			}
+			b.hosts = append(b.hosts, h)
+		}
+	}
+	return b
+}
+
+// Ask implements Policy.
+func (b *Baseline) Ask(ctx context.Context, rng *rand.Rand, request query.Request) (query.Answer, error) {
+	host := b.hosts[rng.IntN(len(b.hosts))]
+	start := time.Now()
+	var (
+		mu     sync.Mutex
+		done   sync.WaitGroup
+		parts  []shard.Part
+		answer = query.Answer{Request: request.ID}
+	)
+	for _, name := range request.Services {
+		done.Go(func() {
+			got, tries := b.service(ctx, host, b.services[name], request)
+			mu.Lock()
+			defer mu.Unlock()
+			parts = append(parts, got...)
+			answer.Subs += tries
+			answer.Extra += tries - 1
+			answer.Coverage.Total += max(len(got), len(b.services[name].Shards))
+			answer.Coverage.Covered += len(got)
+		})
+	}
+	done.Wait()
+	for _, p := range parts {
+		answer.Snapshot = max(answer.Snapshot, p.Version)
+	}
+	answer.Hits = query.Merge(parts, request.Limit)
+	answer.Took = time.Since(start)
+	return answer, nil
+}
+
+// service asks replicas in turn until one answers.
+func (b *Baseline) service(ctx context.Context, host *baseHost, service *config.Service, request query.Request) ([]shard.Part, int) {
+	for try := 1; try <= attempts; try++ {
+		server := service.Servers[host.turn[service.Name].Add(1)%uint64(len(service.Servers))]
+		outcome := b.exchange(ctx, host, service, server, request)
+		if a, ok := outcome.(shard.Answered); ok {
+			return a.Parts, try
+		}
+		if !time.Now().Before(request.Deadline) {
+			return nil, try
+		}
+	}
+	return nil, attempts
+}
+
+func (b *Baseline) exchange(ctx context.Context, host *baseHost, service *config.Service, server config.Server, request query.Request) shard.Outcome {
+	select {
+	case host.slots[server.Name] <- struct{}{}:
+	case <-ctx.Done():
+		return shard.Refused{Reason: fault.ReasonDeadline}
+	}
+	defer func() { <-host.slots[server.Name] }()
+	sub := shard.Sub{Service: service.Name, Server: server.Name, Shards: service.Shards, Limit: request.Limit, Deadline: request.Deadline}
+	p := port{backends: b.backends, network: b.network, host: host.name}
+	return p.Do(ctx, config.Placed{Server: server, Service: service}, sub)
+}
+
+// Apply implements Policy. The baseline has no configuration to change.
+func (b *Baseline) Apply(action Action) {
+	switch a := action.(type) {
+	case Cut:
+		b.network.setCut(a.Zone, true)
+	case Heal:
+		b.network.setCut(a.Zone, false)
+	}
+}
+
+// Close implements Policy.
+func (b *Baseline) Close() {}
--- /dev/null
+++ b/trial/fleet.go
@@ -0,0 +1,174 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+	"hyssophub/daemon"
+	"hyssophub/logs"
+	"hyssophub/member"
+	"hyssophub/query"
+	"hyssophub/store"
+)
+
+// Policy answers queries at the entry hosts. The interface has two
+// implementations, the product and the baseline.
+type Policy interface {
+	// Ask sends a query to one of the live hosts.
+	Ask(ctx context.Context, rng *rand.Rand, request query.Request) (query.Answer, error)
+	// Apply performs an action on the hosts.
+	Apply(action Action)
+	Close()
+}
+
+// Fleet is the product: a real core for each entry host of the manifest.
+type Fleet struct {
+	manifest config.Manifest
+	backends *Backends
+	network  *Network
+	platform *Platform
+
+	mu    sync.Mutex
+	hosts []member.Host
+	cores []*daemon.Core
+	live  []bool
+	out   []string
+	// changes are the configuration writes in progress.
+	changes sync.WaitGroup
+}
+
+func newFleet(manifest config.Manifest, backends *Backends, network *Network, seed uint64) *Fleet {
+	f := &Fleet{manifest: manifest, backends: backends, network: network, platform: newPlatform(seed)}
+	for _, z := range manifest.Zones {
+		for i := range z.Hosts {
+			name := z.Name + strconv.Itoa(i+1)
+			f.hosts = append(f.hosts, member.Host{Name: name, Zone: z.Name, Peer: name, Beat: name})
+		}
+	}
+	f.cores = make([]*daemon.Core, len(f.hosts))
+	f.live = make([]bool, len(f.hosts))
+	f.write()
+	for i := range f.hosts {
+		f.start(i)
+	}
+	return f
+}
+
+// write stores the manifest with the zones that are out, as an administrator
+// in another place would.
+func (f *Fleet) write() {
+	value, err := codec.EncodeValue(config.Value{Manifest: f.manifest, Out: f.out})
+	if err != nil {
+		panic(err)
+	}
+	f.platform.mu.Lock()
+	revision := f.platform.entry("config").Revision
+	f.platform.mu.Unlock()
+	if _, err := f.platform.swap("config", revision, value); err != nil {
+		panic(err)
+	}
+}
+
+func (f *Fleet) start(i int) {
+	h := f.hosts[i]
+	platform := view{platform: f.platform, network: f.network, host: h.Name}
+	core := daemon.NewCore(h, daemon.Ports{
+		KV:      platform,
+		Hosts:   platform,
+		Peers:   peers{network: f.network, host: h.Name},
+		Backend: port{backends: f.backends, network: f.network, host: h.Name},
+	}, logs.Discard())
+	f.network.join(h.Name, h.Zone, core.Handler())
+	f.mu.Lock()
+	f.cores[i], f.live[i] = core, true
+	f.mu.Unlock()
+	f.publish()
+	core.Start()
+}
+
+// publish puts the live hosts on the platform's list.
+func (f *Fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []store.HostInfo
+	for i, h := range f.hosts {
+		if f.live[i] {
+			list = append(list, store.HostInfo{
+				Name: h.Name, Kind: store.KindEntry, Zone: h.Zone, State: store.HostLive, Peer: h.Peer, Beat: h.Beat,
+			})
+		}
+	}
+	f.platform.list(list)
+}
+
+// Ask implements Policy.
+func (f *Fleet) Ask(ctx context.Context, rng *rand.Rand, request query.Request) (query.Answer, error) {
+	f.mu.Lock()
+	i := rng.IntN(len(f.cores))
+	for !f.live[i] {
+		i = (i + 1) % len(f.cores)
+	}
+	core := f.cores[i]
+	f.mu.Unlock()
+	return core.Run(ctx, request)
+}
+
+// Apply implements Policy.
+func (f *Fleet) Apply(action Action) {
+	switch a := action.(type) {
+	case Kill:
+		f.network.kill(f.hosts[a.Host].Name)
+		f.leave(a.Host)
+	case Pause:
+		f.network.pause(f.hosts[a.Host].Name)
+	case Resume:
+		f.network.resume(f.hosts[a.Host].Name)
+	case Restart:
+		f.leave(a.Host)
+		f.changes.Go(func() {
+			_ = f.cores[a.Host].Close()
+			f.start(a.Host)
+		})
+	case Cut:
+		f.network.setCut(a.Zone, true)
+	case Heal:
+		f.network.setCut(a.Zone, false)
+	case Store:
+		f.platform.set(a)
+	case Zone:
+		f.out = nil
+		if a.Out {
+			f.out = []string{a.Name}
+		}
+		f.write()
+	}
+}
+
+// leave takes a host off the balancer and the host list.
+func (f *Fleet) leave(i int) {
+	f.mu.Lock()
+	f.live[i] = false
+	f.mu.Unlock()
+	f.publish()
+}
+
+// Close implements Policy.
+func (f *Fleet) Close() {
+	f.changes.Wait()
+	for _, h := range f.hosts {
+		f.network.resume(h.Name)
+	}
+	var closing sync.WaitGroup
+	for _, c := range f.cores {
+		closing.Go(func() { _ = c.Close() })
+	}
+	closing.Wait()
+	// Timers of the cores may still be pending; their pools are closed, so
+	// that they do nothing.
+	time.Sleep(time.Second)
+}
--- /dev/null
+++ b/trial/load.go
@@ -0,0 +1,169 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/query"
+	"hyssophub/shard"
+)
+
+// answerLimit keeps every hit of an answer, so that the check sees all parts.
+const answerLimit = 1000
+
+// Load sends the queries of all tenants to a policy and records the answers.
+type load struct {
+	script   Script
+	manifest config.Manifest
+	backends *Backends
+	policy   Policy
+	start    time.Time
+	tally    *tally
+
+	mu    sync.Mutex
+	rates map[string]float64
+}
+
+func newLoad(script Script, manifest config.Manifest, backends *Backends, policy Policy) *load {
+	l := &load{
+		script:   script,
+		manifest: manifest,
+		backends: backends,
+		policy:   policy,
+		start:    time.Now(),
+		tally:    newTally(),
+		rates:    make(map[string]float64),
+	}
+	for _, t := range manifest.Tenants {
+		l.rates[t.Name] = script.Rate
+	}
+	return l
+}
+
+// apply sets the rates of a class relative to the capacity of its servers.
+func (l *load) apply(a Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.manifest.Tenants {
+		if t.Class == a.Class {
+			l.rates[t.Name] = a.Capacity * l.capacity(t.Name)
+		}
+	}
+}
+
+// capacity returns the queries a second that a tenant's smallest service bears.
+func (l *load) capacity(tenant string) float64 {
+	least := 0.0
+	for _, s := range l.manifest.Services {
+		if s.Tenant != tenant {
+			continue
+		}
+		c := float64(s.Slots*len(s.Servers)) / l.script.Service.Seconds()
+		if least == 0 || c < least {
+			least = c
+		}
+	}
+	return least
+}
+
+func (l *load) rate(tenant string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rates[tenant]
+}
+
+// run sends queries until the end of the script and waits for the answers.
+func (l *load) run() {
+	var tenants sync.WaitGroup
+	for i, t := range l.manifest.Tenants {
+		tenants.Go(func() { l.tenant(t, rand.New(rand.NewPCG(l.script.Seed, uint64(100+i)))) })
+	}
+	tenants.Wait()
+}
+
+// tenant sends the queries of one tenant at random intervals.
+func (l *load) tenant(t config.Tenant, rng *rand.Rand) {
+	var services []string
+	for _, s := range l.manifest.Services {
+		if s.Tenant == t.Name {
+			services = append(services, s.Name)
+		}
+	}
+	var queries sync.WaitGroup
+	defer queries.Wait()
+	for n := 0; time.Since(l.start) < l.script.Run; n++ {
+		time.Sleep(time.Duration(rng.ExpFloat64() / l.rate(t.Name) * float64(time.Second)))
+		seed := rng.Uint64()
+		id := t.Name + "-" + strconv.Itoa(n)
+		queries.Go(func() { l.query(t, services, id, rand.New(rand.NewPCG(seed, 0))) })
+	}
+}
+
+// query sends one query and records its answer. Times are the caller's.
+func (l *load) query(t config.Tenant, services []string, id string, rng *rand.Rand) {
+	sent := time.Now()
+	time.Sleep(l.manifest.Network.Client)
+	request := query.Request{
+		ID: id, Tenant: t.Name, Services: services, Text: "x", Limit: answerLimit, Class: t.Class,
+		Deadline: time.Now().Add(l.script.Deadline),
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline.Add(time.Second))
+	defer cancel()
+	answer, err := l.policy.Ask(ctx, rng, request)
+	late := time.Now().After(request.Deadline)
+	time.Sleep(l.manifest.Network.Client)
+	r := record{class: t.Class, took: time.Since(sent), answer: answer, refused: err != nil, late: late}
+	if err == nil {
+		r.mixed, r.inexact = l.check(services, answer)
+	}
+	at := sent.Sub(l.start)
+	switch {
+	case at >= l.script.During.From && at < l.script.During.To:
+		l.tally.add(during, r)
+	case at >= l.script.Before.From && at < l.script.Before.To:
+		l.tally.add(before, r)
+	}
+}
+
+// check compares an answer with the hits in it, which tell their version and
+// shard. An answer is mixed if a hit is of another version than the snapshot.
+// Its coverage is inexact if it differs from the shards that have hits, or if
+// these and the missing shards are not the partition map of the snapshot.
+func (l *load) check(services []string, answer query.Answer) (mixed, inexact bool) {
+	version := strconv.FormatUint(uint64(answer.Snapshot), 10)
+	found := make(map[string]bool, len(answer.Hits))
+	for _, h := range answer.Hits {
+		mixed = mixed || h.Text != version
+		inexact = inexact || found[h.Key]
+		found[h.Key] = true
+	}
+	c := answer.Coverage
+	inexact = inexact || len(found) != c.Covered || c.Covered+len(c.Missing) != c.Total
+	for _, m := range c.Missing {
+		inexact = inexact || found[m.Shard]
+		found[m.Shard] = true
+	}
+	want := 0
+	for _, name := range services {
+		for _, s := range l.backends.maps[name][answer.Snapshot] {
+			want++
+			inexact = inexact || !found[s]
+		}
+	}
+	return mixed, inexact || want != c.Total
+}
+
+// record is what a caller saw of one query.
+type record struct {
+	class   shard.Class
+	took    time.Duration
+	answer  query.Answer
+	refused bool
+	late    bool
+	mixed   bool
+	inexact bool
+}
--- /dev/null
+++ b/trial/network.go
@@ -0,0 +1,180 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hyssophub/daemon"
+	"hyssophub/event"
+	"hyssophub/fault"
+	"hyssophub/owner"
+	"hyssophub/peer"
+	"hyssophub/shard"
+)
+
+// errCut ends a call that a cut, a pause or a dead host never answers.
+var errCut = errors.New("trial: no answer")
+
+// platform is the name of the platform as the end of a connection.
+const platform = ""
+
+// Network connects the hosts, the backend servers and the platform with the
+// manifest's delays. Cuts drop messages in both directions.
+type Network struct {
+	delay time.Duration
+
+	mu       sync.Mutex
+	handlers map[string]peer.Handler
+	zones    map[string]string
+	cut      map[string]bool
+	dead     map[string]bool
+	paused   map[string]chan struct{}
+}
+
+func newNetwork(delay time.Duration) *Network {
+	return &Network{
+		delay:    delay,
+		handlers: make(map[string]peer.Handler),
+		zones:    make(map[string]string),
+		cut:      make(map[string]bool),
+		dead:     make(map[string]bool),
+		paused:   make(map[string]chan struct{}),
+	}
+}
+
+// join makes a host reachable.
+func (n *Network) join(host, zone string, handler peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[host] = handler
+	n.zones[host] = zone
+	delete(n.dead, host)
+}
+
+// kill makes a host unreachable and lets none of its calls out.
+func (n *Network) kill(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead[host] = true
+}
+
+func (n *Network) pause(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[host] = make(chan struct{})
+}
+
+func (n *Network) resume(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c, ok := n.paused[host]; ok {
+		close(c)
+		delete(n.paused, host)
+	}
+}
+
+func (n *Network) setCut(zone string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[zone] = cut
+}
+
+// cross carries one message from a host to a zone. A message that is dropped
+// leaves its sender waiting until its context ends.
+func (n *Network) cross(ctx context.Context, host, zone string) error {
+	n.awake(host)
+	n.mu.Lock()
+	from := n.zones[host]
+	dropped := n.dead[host] || (from != zone && (n.cut[from] || n.cut[zone]))
+	n.mu.Unlock()
+	if dropped {
+		<-ctx.Done()
+		return errCut
+	}
+	if from != zone {
+		time.Sleep(n.delay)
+		return nil
+	}
+	time.Sleep(hop)
+	return nil
+}
+
+// awake waits while a host is paused.
+func (n *Network) awake(host string) {
+	n.mu.Lock()
+	c := n.paused[host]
+	n.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
+// reach returns the handler of a live host.
+func (n *Network) reach(host string) (peer.Handler, string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.handlers[host]
+	return h, n.zones[host], ok && !n.dead[host]
+}
+
+// peers is the network as one host sees it. It implements daemon.Peers.
+type peers struct {
+	network *Network
+	host    string
+}
+
+var _ daemon.Peers = peers{}
+
+// call carries a request to a host and its answer back.
+func (p peers) call(ctx context.Context, host string, do func(peer.Handler)) error {
+	_, zone, _ := p.network.reach(host)
+	if err := p.network.cross(ctx, p.host, zone); err != nil {
+		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
+	}
+	h, _, ok := p.network.reach(host)
+	if !ok {
+		return fault.New(fault.NotRun{}, fault.ReasonDown, "host %s is down", host)
+	}
+	p.network.awake(host)
+	do(h)
+	_, own, _ := p.network.reach(p.host)
+	if err := p.network.cross(ctx, host, own); err != nil {
+		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
+	}
+	return nil
+}
+
+// Submit implements daemon.Peers.
+func (p peers) Submit(ctx context.Context, host string, batch shard.Batch) (results []shard.Result, err error) {
+	err = p.call(ctx, host, func(h peer.Handler) { results = h.Submit(ctx, batch) })
+	return results, err
+}
+
+// Deliver implements daemon.Peers.
+func (p peers) Deliver(ctx context.Context, host string, results []shard.Result) error {
+	return p.call(ctx, host, func(h peer.Handler) { h.Deliver(results) })
+}
+
+// Fetch implements daemon.Peers.
+func (p peers) Fetch(ctx context.Context, host string, revision uint64) (value []byte, newest uint64, err error) {
+	err = p.call(ctx, host, func(h peer.Handler) { value, newest = h.Fetch(revision) })
+	return value, newest, err
+}
+
+// Catalogs implements daemon.Peers.
+func (p peers) Catalogs(ctx context.Context, host string) (catalogs []shard.Catalog, err error) {
+	err = p.call(ctx, host, func(h peer.Handler) { catalogs = h.Catalogs() })
+	return catalogs, err
+}
+
+// Handover implements daemon.Peers.
+func (p peers) Handover(ctx context.Context, host, from string, states []owner.State) error {
+	return p.call(ctx, host, func(h peer.Handler) { h.Handover(from, states) })
+}
+
+// Notify implements daemon.Peers.
+func (p peers) Notify(ctx context.Context, host, from string, e event.Event) error {
+	return p.call(ctx, host, func(h peer.Handler) { h.Notify(from, e) })
+}
--- /dev/null
+++ b/trial/run.go
@@ -0,0 +1,46 @@
+package trial
+
+import (
+	"time"
+
+	"hyssophub/config"
+)
+
+// Policies that a script runs with.
+const (
+	Product  = "product"
+	Blind    = "baseline"
+	settleIn = 2 * time.Second
+)
+
+// Run performs a script in virtual time. Call it in a synctest bubble.
+func Run(script Script, manifest config.Manifest, policy string) Result {
+	backends := newBackends(manifest, script.Service, script.Seed)
+	backends.plan(script.Events)
+	network := newNetwork(manifest.Network.Zone)
+	var hosts Policy
+	if policy == Product {
+		hosts = newFleet(manifest, backends, network, script.Seed)
+	} else {
+		hosts = newBaseline(manifest, backends, network)
+	}
+	// Hosts learn the configuration and the catalogs before the first query.
+	time.Sleep(settleIn)
+	l := newLoad(script, manifest, backends, hosts)
+	for _, e := range script.Events {
+		time.AfterFunc(e.At, func() {
+			if a, ok := e.Action.(Load); ok {
+				l.apply(a)
+				return
+			}
+			if !backends.apply(e.Action) {
+				hosts.Apply(e.Action)
+			}
+		})
+	}
+	l.run()
+	hosts.Close()
+	r := l.tally.result(backends.total())
+	r.Trial, r.Policy, r.Deployment = script.Name, policy, manifest.Name
+	return r
+}
--- /dev/null
+++ b/trial/script.go
@@ -0,0 +1,293 @@
+// Package trial holds the experiments in virtual time: a fleet of real host
+// cores over in-memory ports, a model of the backend servers, and the baseline
+// that the product is compared with.
+package trial
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"hyssophub/shard"
+)
+
+// Script is one experiment as its data file describes it.
+type Script struct {
+	Name string
+	Seed uint64
+	// Service is the median service time of a warm backend server.
+	Service  time.Duration
+	Deadline time.Duration
+	// Rate is the number of queries a second and tenant.
+	Rate float64
+	// Run is the length of the experiment.
+	Run time.Duration
+	// Before is the fault-free window and During the measured one.
+	Before  Window
+	During  Window
+	Events  []Event
+	Targets []Target
+}
+
+// Window is a span of virtual time since the start.
+type Window struct{ From, To time.Duration }
+
+// Target bounds a figure of the product's run.
+type Target struct {
+	Figure string
+	Most   float64
+}
+
+// Event is an action at a time since the start.
+type Event struct {
+	At     time.Duration
+	Action Action
+}
+
+// Action is what an event does to the fleet. The interface is sealed.
+type Action interface{ action() }
+
+// Place selects a backend server by the position of its service in the
+// manifest and its own position in the service, or all services whose position
+// is a multiple of Every.
+type Place struct {
+	Service int
+	Replica int
+	Every   int
+}
+
+type (
+	// Slow multiplies the service time of servers.
+	Slow struct {
+		Place  Place
+		Factor float64
+	}
+	// Drain makes servers refuse new work and stop after a grace time.
+	Drain struct {
+		Place Place
+		Grace time.Duration
+	}
+	// Cold makes servers cold. With Restart they report a start by refusing
+	// work for a second; otherwise the change is silent.
+	Cold struct {
+		Place   Place
+		Restart bool
+	}
+	// Down makes servers refuse connections until Up.
+	Down struct{ Place Place }
+	// Up ends Down; the servers come back cold.
+	Up struct{ Place Place }
+	// Silence makes the share of the open connections of all servers go
+	// silent for good.
+	Silence struct{ Share float64 }
+	// Roll moves all services to a new version, server by server, within Over.
+	// The old version disappears from a server Keep after the new one came.
+	Roll struct {
+		Version shard.Version
+		Over    time.Duration
+		Keep    time.Duration
+		Split   bool
+	}
+	// Kill ends a host without notice, Pause stops its calls until Resume, and
+	// Restart closes it in an orderly way and starts it anew.
+	Kill    struct{ Host int }
+	Pause   struct{ Host int }
+	Resume  struct{ Host int }
+	Restart struct{ Host int }
+	// Cut separates a zone from the others and from the platform until Heal.
+	Cut  struct{ Zone string }
+	Heal struct{ Zone string }
+	// Store sets the state of the store.
+	Store struct {
+		Down  bool
+		Delay time.Duration
+		Loss  float64
+	}
+	// Zone takes a zone out of service or brings it back.
+	Zone struct {
+		Name string
+		Out  bool
+	}
+	// Load sets the rate of the tenants of a class to a multiple of the
+	// capacity of their backend servers.
+	Load struct {
+		Class    shard.Class
+		Capacity float64
+	}
+)
+
+func (Slow) action()    {}
+func (Drain) action()   {}
+func (Cold) action()    {}
+func (Down) action()    {}
+func (Up) action()      {}
+func (Silence) action() {}
+func (Roll) action()    {}
+func (Kill) action()    {}
+func (Pause) action()   {}
+func (Resume) action()  {}
+func (Restart) action() {}
+func (Cut) action()     {}
+func (Heal) action()    {}
+func (Store) action()   {}
+func (Zone) action()    {}
+func (Load) action()    {}
+
+// Parse reads a script: one setting, event ("at TIME ACTION key=value …") or
+// target ("target FIGURE MOST") a line, and comments after "#".
+func Parse(name, text string) (Script, error) {
+	s := Script{Name: name}
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		if err := s.line(words); err != nil {
+			return s, oops.Wrapf(err, "%s line %d", name, i+1)
+		}
+	}
+	return s, nil
+}
+
+func (s *Script) line(words []string) error {
+	a := args{words: words}
+	switch words[0] {
+	case "seed":
+		s.Seed = uint64(a.number(1))
+	case "service":
+		s.Service = a.span(1)
+	case "deadline":
+		s.Deadline = a.span(1)
+	case "rate":
+		s.Rate = a.number(1)
+	case "run":
+		s.Run = a.span(1)
+	case "before":
+		s.Before = Window{From: a.span(1), To: a.span(2)}
+	case "during":
+		s.During = Window{From: a.span(1), To: a.span(2)}
+	case "target":
+		s.Targets = append(s.Targets, Target{Figure: a.word(1), Most: a.number(2)})
+	case "at":
+		s.Events = append(s.Events, Event{At: a.span(1), Action: a.action()})
+	default:
+		return oops.Errorf("unknown word %q", words[0])
+	}
+	return a.err
+}
+
+// args reads the words of a line and keeps the first error.
+type args struct {
+	words []string
+	err   error
+}
+
+func (a *args) word(i int) string {
+	if i >= len(a.words) {
+		a.fail("word %d is missing", i)
+		return ""
+	}
+	return a.words[i]
+}
+
+func (a *args) number(i int) float64 { return a.parse(a.word(i)) }
+
+func (a *args) span(i int) time.Duration { return a.duration(a.word(i)) }
+
+func (a *args) parse(text string) float64 {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		a.fail("%q is no number", text)
+	}
+	return f
+}
+
+func (a *args) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		a.fail("%q is no duration", text)
+	}
+	return d
+}
+
+func (a *args) fail(format string, values ...any) {
+	if a.err == nil {
+		a.err = oops.Errorf(format, values...)
+	}
+}
+
+// value returns the value of key=value, or preset.
+func (a *args) value(key, preset string) string {
+	for _, w := range a.words {
+		if k, v, ok := strings.Cut(w, "="); ok && k == key {
+			return v
+		}
+	}
+	return preset
+}
+
+func (a *args) place() Place {
+	return Place{
+		Service: int(a.parse(a.value("service", "0"))),
+		Replica: int(a.parse(a.value("replica", "0"))),
+		Every:   int(a.parse(a.value("every", "0"))),
+	}
+}
+
+func (a *args) host() int { return int(a.parse(a.value("host", "0"))) }
+
+func (a *args) action() Action {
+	switch a.word(2) {
+	case "slow":
+		return Slow{Place: a.place(), Factor: a.parse(a.value("factor", "1"))}
+	case "drain":
+		return Drain{Place: a.place(), Grace: a.duration(a.value("grace", "10s"))}
+	case "cold":
+		return Cold{Place: a.place(), Restart: a.value("restart", "") != ""}
+	case "down":
+		return Down{Place: a.place()}
+	case "up":
+		return Up{Place: a.place()}
+	case "silence":
+		return Silence{Share: a.parse(a.value("share", "0.5"))}
+	case "roll":
+		return Roll{
+			Version: shard.Version(a.parse(a.value("version", "2"))),
+			Over:    a.duration(a.value("over", "5s")),
+			Keep:    a.duration(a.value("keep", "5s")),
+			Split:   a.value("split", "") != "",
+		}
+	case "kill":
+		return Kill{Host: a.host()}
+	case "pause":
+		return Pause{Host: a.host()}
+	case "resume":
+		return Resume{Host: a.host()}
+	case "restart":
+		return Restart{Host: a.host()}
+	case "cut":
+		return Cut{Zone: a.value("zone", "a")}
+	case "heal":
+		return Heal{Zone: a.value("zone", "a")}
+	case "store":
+		return Store{
+			Down:  a.value("down", "") != "",
+			Delay: a.duration(a.value("delay", "2ms")),
+			Loss:  a.parse(a.value("loss", "0")),
+		}
+	case "zone":
+		return Zone{Name: a.value("name", "a"), Out: a.value("out", "") != ""}
+	case "load":
+		class, ok := shard.ParseClass(a.value("class", "routine"))
+		if !ok {
+			a.fail("unknown class")
+		}
+		return Load{Class: class, Capacity: a.parse(a.value("capacity", "1"))}
+	default:
+		a.fail("unknown action %q", a.word(2))
+		return nil
+	}
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,63 @@
+package trial
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/codec"
+	"hyssophub/config"
+)
+
+// Each trial has a test of its own, so that KNOWN-RED.txt can name it. A trial
+// guards the target of section 13 of the design page that its script states.
+
+func TestTrialStraggler(t *testing.T) { runTrial(t, "straggler") }
+
+func TestTrialUrgent(t *testing.T) { runTrial(t, "urgent") }
+
+func TestTrialIndexswap(t *testing.T) { runTrial(t, "indexswap") }
+
+func TestTrialLeave(t *testing.T) { runTrial(t, "leave") }
+
+func TestTrialColdstart(t *testing.T) { runTrial(t, "coldstart") }
+
+// runTrial runs a script for both deployments and both policies. Only the
+// product's policy has to meet the targets.
+func runTrial(t *testing.T, name string) {
+	t.Parallel()
+	text, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
+	require.NoError(t, err)
+	script, err := Parse(name, string(text))
+	require.NoError(t, err)
+	for _, deployment := range []string{"skane", "capbon"} {
+		manifest := readManifest(t, deployment)
+		for _, policy := range []string{Product, Blind} {
+			t.Run(deployment+"/"+policy, func(t *testing.T) {
+				t.Parallel()
+				var r Result
+				synctest.Test(t, func(*testing.T) { r = Run(script, manifest, policy) })
+				t.Log(r)
+				t.Logf("figures of %s/%s %s: %v", name, deployment, policy, r.Figures)
+				if policy != Product {
+					return
+				}
+				for _, miss := range r.Misses(script.Targets) {
+					t.Error(miss)
+				}
+			})
+		}
+	}
+}
+
+func readManifest(t *testing.T, deployment string) config.Manifest {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "examples", deployment+".json"))
+	require.NoError(t, err)
+	manifest, err := codec.DecodeManifest(data)
+	require.NoError(t, err)
+	return manifest
+}
