route, query: Avoid slow replicas and keep hedges within their budget

Change: a replica that is slow, down or has old figures is tried again with one sub-request after a wait that doubles; an overdue sub-request marks its replica at once; costs get a spread; the wait before a hedge grows as the budget empties; hedges need a spare slot. The coverage of versions is cached per service. Answers merge by a heap of sorted parts. A query ends at its deadline even if the job queue is full, a rerun forgets the results of the earlier run, pauses spend the retry budget and never outlive the deadline.

--- a/query/engine.go
+++ b/query/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,16 +46,15 @@
 	hedgeJob struct{ record *record }
 	againJob struct {
 		record *record
+		run    int
 		needs  []*need
 	}
-	expireJob struct{ record *record }
 )
 
-func (planJob) job()   {}
-func (sendJob) job()   {}
-func (hedgeJob) job()  {}
-func (againJob) job()  {}
-func (expireJob) job() {}
+func (planJob) job()  {}
+func (sendJob) job()  {}
+func (hedgeJob) job() {}
+func (againJob) job() {}
 
 // outgoing is a batch with its destination.
 type outgoing struct {
@@ -113,10 +113,14 @@
 		refusal.RetryAfter = time.Second
 		return Answer{}, refusal
 	}
-	timer := time.AfterFunc(time.Until(request.Deadline), func() { e.submit(request.Class, expireJob{record: r}) })
+	// The caller's own goroutine ends the query, so that a full queue cannot
+	// delay it past the deadline.
+	timer := time.NewTimer(time.Until(request.Deadline))
 	defer timer.Stop()
 	select {
 	case <-r.done:
+	case <-timer.C:
+		e.table.expire(r, time.Now())
 	case <-ctx.Done():
 		e.table.expire(r, time.Now())
 	}
@@ -186,9 +190,7 @@
 	case hedgeJob:
 		e.scheduleHedge(j.record)
 	case againJob:
-		e.apply(j.record, e.table.again(j.record, j.needs, time.Now()))
-	case expireJob:
-		e.table.expire(j.record, time.Now())
+		e.apply(j.record, e.table.again(j.record, j.run, j.needs, time.Now()))
 	}
 }
 
@@ -201,7 +203,7 @@
 // apply sends the sub-requests of a step and schedules its pauses.
 func (e *Engine) apply(r *record, step effects) {
 	if len(step.again) > 0 {
-		again := againJob{record: r, needs: step.again}
+		again := againJob{record: r, run: step.run, needs: step.again}
 		time.AfterFunc(step.pause, func() { e.submit(r.request.Class, again) })
 	}
 	for _, o := range e.group(r.request.Class, step.send) {
@@ -214,21 +216,21 @@
 // group collects sub-requests by the owner of their server.
 func (e *Engine) group(class shard.Class, subs []shard.Sub) []outgoing {
 	var list []outgoing
-	byHost := make(map[string]int)
 	var orphans []shard.Sub
+	revision := e.config.View().Value.Revision
 	for _, sub := range subs {
 		host, ok := e.directory.OwnerOf(sub.Server)
 		if !ok {
 			orphans = append(orphans, sub)
 			continue
 		}
-		i, ok := byHost[host]
-		if !ok {
+		// A query has few owners, so that a search is cheaper than a map.
+		i := slices.IndexFunc(list, func(o outgoing) bool { return o.host == host })
+		if i < 0 {
 			i = len(list)
-			byHost[host] = i
 			list = append(list, outgoing{host: host, batch: shard.Batch{
 				From:     e.options.Host,
-				Revision: e.config.View().Value.Revision,
+				Revision: revision,
 				Class:    class,
 			}})
 		}
--- /dev/null
+++ b/query/merge.go
@@ -0,0 +1,82 @@
+package query
+
+import (
+	"cmp"
+	"slices"
+
+	"hyssophub/shard"
+)
+
+// Merge returns the first limit hits of all parts, by descending score, then
+// by key. Servers send sorted parts, which a heap of their heads merges
+// without sorting again; others are sorted first.
+func Merge(parts []shard.Part, limit int) []shard.Hit {
+	size := 0
+	heads := make(heads, 0, len(parts))
+	for _, p := range parts {
+		if len(p.Hits) == 0 {
+			continue
+		}
+		size += len(p.Hits)
+		heads = append(heads, sorted(p.Hits))
+	}
+	for i := len(heads)/2 - 1; i >= 0; i-- {
+		heads.down(i)
+	}
+	hits := make([]shard.Hit, 0, max(0, min(limit, size)))
+	for len(heads) > 0 && len(hits) < limit {
+		hits = append(hits, heads[0][0])
+		heads = heads.advance()
+	}
+	return hits
+}
+
+// sorted returns the hits in order, in a copy if they are not.
+func sorted(hits []shard.Hit) []shard.Hit {
+	if slices.IsSortedFunc(hits, compare) {
+		return hits
+	}
+	hits = slices.Clone(hits)
+	slices.SortFunc(hits, compare)
+	return hits
+}
+
+func compare(a, b shard.Hit) int {
+	if c := cmp.Compare(b.Score, a.Score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Key, b.Key)
+}
+
+// heads is a heap of non-empty sorted lists, ordered by their first hits. It
+// does not use container/heap, whose interface calls cost more than the
+// comparisons.
+type heads [][]shard.Hit
+
+// advance removes the first hit of the first list.
+func (h heads) advance() heads {
+	h[0] = h[0][1:]
+	if len(h[0]) == 0 {
+		h[0] = h[len(h)-1]
+		h = h[:len(h)-1]
+	}
+	h.down(0)
+	return h
+}
+
+// down moves the list at i to its place below.
+func (h heads) down(i int) {
+	for {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < len(h); c++ {
+			if compare(h[c][0], h[least][0]) < 0 {
+				least = c
+			}
+		}
+		if least == i {
+			return
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
+}
--- a/query/query.go
+++ b/query/query.go
@@ -4,8 +4,6 @@
 package query
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"hyssophub/fault"
@@ -62,23 +60,3 @@
 	Subs  int
 	Extra int
 }
-
-// Merge returns the first limit hits of all parts, by descending score, then
-// by key.
-func Merge(parts []shard.Part, limit int) []shard.Hit {
-	size := 0
-	for _, p := range parts {
-		size += len(p.Hits)
-	}
-	hits := make([]shard.Hit, 0, size)
-	for _, p := range parts {
-		hits = append(hits, p.Hits...)
-	}
-	slices.SortFunc(hits, func(a, b shard.Hit) int {
-		if a.Score != b.Score {
-			return cmp.Compare(b.Score, a.Score)
-		}
-		return cmp.Compare(a.Key, b.Key)
-	})
-	return hits[:min(limit, len(hits))]
-}
--- a/query/record.go
+++ b/query/record.go
@@ -17,9 +17,11 @@
 	reason  fault.Reason
 	// open counts the attempts in progress for the shard.
 	open int
-	// attempts counts all attempts, tried names their servers.
+	// attempts counts all attempts, and tried names the servers of those since
+	// the last pause.
 	attempts int
-	tried    []string
+	tried    [maxAttempts]string
+	tries    int
 }
 
 // attempt is a sub-request in progress.
@@ -28,7 +30,10 @@
 	record *record
 	needs  []*need
 	sent   time.Time
-	hedged bool
+	// place is the position in the record's open attempts.
+	place   int
+	overdue bool
+	hedged  bool
 }
 
 // record is a query in progress. The table's lock guards it.
@@ -38,9 +43,10 @@
 	version  shard.Version
 	needs    []*need
 	parts    []shard.Part
-	open     map[uint64]*attempt
+	open     []*attempt
 	waiting  int
 	runs     int
+	pauses   int
 	subs     int
 	extra    int
 	finished bool
@@ -52,7 +58,6 @@
 	return &record{
 		request: request,
 		started: now,
-		open:    make(map[uint64]*attempt),
 		done:    make(chan struct{}),
 	}
 }
@@ -90,7 +95,18 @@
 	}
 }
 
-// coverage lists what is covered and what is missing.
+// try counts an attempt at a server.
+func (n *need) try(server string) {
+	n.open++
+	n.attempts++
+	if n.tries < len(n.tried) {
+		n.tried[n.tries] = server
+		n.tries++
+	}
+}
+
+// coverage lists what is covered and what is missing. A shard whose attempts
+// are still open is missing because of the deadline.
 func (r *record) coverage() Coverage {
 	c := Coverage{Total: len(r.needs)}
 	for _, n := range r.needs {
@@ -99,7 +115,7 @@
 			continue
 		}
 		reason := n.reason
-		if reason == "" {
+		if reason == "" || n.open > 0 {
 			reason = fault.ReasonDeadline
 		}
 		c.Missing = append(c.Missing, Missing{Service: n.service.Name, Shard: n.shard, Reason: reason})
--- a/route/budget.go
+++ b/route/budget.go
@@ -1,12 +1,17 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"hyssophub/config"
+)
 
 // Shares and bursts of the budgets. Hedges may add 3% to the load on backend
-// servers; retries stay below a share that could turn a fault into a storm.
+// servers, of which the share leaves a third to bursts and retries; retries
+// stay below a share that could turn a fault into a storm.
 const (
-	hedgeShare = 0.025
-	hedgeBurst = 10
+	hedgeShare = 0.02
+	hedgeBurst = 20
 	retryShare = 0.1
 	retryBurst = 50
 )
@@ -18,6 +23,11 @@
 	hedgeFloor  = 10 * time.Millisecond
 )
 
+// hedgeStretch is by how much an empty budget lengthens the wait before a
+// hedge. It keeps the rest of the budget for the sub-requests that are the
+// most overdue.
+const hedgeStretch = 1.0
+
 // Budget lets extra requests through as a share of the ordinary ones.
 type Budget struct {
 	Share  float64
@@ -33,12 +43,12 @@
 // Earn adds the share of n ordinary requests.
 func (b *Budget) Earn(n int) { b.Tokens = min(b.Burst, b.Tokens+b.Share*float64(n)) }
 
-// Spend takes one extra request and reports whether the budget allows it.
-func (b *Budget) Spend() bool {
-	if b.Tokens < 1 {
+// Spend takes n extra requests and reports whether the budget allows them.
+func (b *Budget) Spend(n int) bool {
+	if b.Tokens < float64(n) {
 		return false
 	}
-	b.Tokens--
+	b.Tokens -= float64(n)
 	return true
 }
 
@@ -50,16 +60,35 @@
 	t.retries.Earn(n)
 }
 
-// SpendHedge reports whether one more hedge is within the budget.
-func (t *Table) SpendHedge() bool {
+// SpendHedge reports whether n more hedges are within the budget.
+func (t *Table) SpendHedge(n int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hedges.Spend()
+	return t.hedges.Spend(n)
 }
 
 // SpendRetry reports whether one more retry is within the budget.
 func (t *Table) SpendRetry() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.retries.Spend()
+	return t.retries.Spend(1)
 }
+
+// HedgeDelay returns how long to wait for a server of the service before a
+// hedge: the lowest recent tail among the replicas, since a straggler's own
+// tail would delay the hedge for too long.
+func (t *Table) HedgeDelay(view *config.View, service *config.Service) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tail := time.Duration(0)
+	for _, r := range t.set(view, service).replicas {
+		if f := r.Figures.Tail; f > 0 && (tail == 0 || f < tail) {
+			tail = f
+		}
+	}
+	delay := max(tail+hedgeMargin+2*view.Value.Manifest.Network.Zone, hedgeFloor)
+	return delay + time.Duration(hedgeStretch*t.hedges.used()*float64(delay))
+}
+
+// used returns the spent part of the burst, from 0 to 1.
+func (b *Budget) used() float64 { return 1 - b.Tokens/b.Burst }
--- a/route/choose.go
+++ b/route/choose.go
@@ -8,14 +8,34 @@
 	"hyssophub/shard"
 )
 
-// downFor is how long a server that failed is passed over while another
-// replica can serve.
-const downFor = 500 * time.Millisecond
-
-// staleAfter is the age at which figures no longer speak against a replica, so
-// that a recovered straggler is tried again.
+// staleAfter is the age at which figures no longer exclude a replica that
+// drained or had no owner, and at which a replica is tried again.
 const staleAfter = 2 * time.Second
 
+// A replica is slow if it takes slowFactor times the best median of its
+// service plus slowMargin, which covers the noise of short service times.
+const (
+	slowFactor = 2
+	slowMargin = 5 * time.Millisecond
+)
+
+// Bounds of the time after which a replica that is slow or down is tried
+// again. Each try of a straggler delays one query until its hedge answers, so
+// the wait grows; a refused connection costs little.
+const (
+	firstWait   = time.Second
+	longestWait = 16 * time.Second
+	longestDown = 2 * time.Second
+)
+
+// jitter is the relative spread that is added to costs, so that hosts with the
+// same figures do not all choose the same replica.
+const jitter = 0.2
+
+// avoid is the cost of a replica that is down or was not usable. It is chosen
+// only if no other holds the shards.
+const avoid = time.Minute
+
 // Want asks for replicas for some shards of a service.
 type Want struct {
 	Service *config.Service
@@ -23,105 +43,135 @@
 	Shards  []string
 	// Tried names servers that must not be chosen.
 	Tried []string
+	// Spare asks for a replica with a free slot, for a hedge.
+	Spare bool
 }
 
 // Pick is a chosen server with the shards it shall answer.
 type Pick struct {
-	Server config.Server
+	Server string
 	Shards []string
 }
 
-// Choose selects servers for the wanted shards, the fewest and fastest first.
-// Shards that no usable replica holds are returned as missing.
-func (t *Table) Choose(view *config.View, want Want, now time.Time) (picks []Pick, missing []string) {
+// Choose selects servers for the wanted shards, the fewest and fastest first,
+// and appends them to picks. Shards that no usable replica holds are returned
+// as missing. Each pick counts as in progress until Done.
+func (t *Table) Choose(view *config.View, want Want, now time.Time, picks []Pick) (chosen []Pick, missing []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	missing = slices.Clone(want.Shards)
+	s := t.set(view, want.Service)
+	missing = want.Shards
 	for len(missing) > 0 {
-		pick, ok := t.best(view, want, missing, now)
-		if !ok {
+		i, held := t.best(view, s, want, missing, now)
+		if i < 0 {
 			return picks, missing
 		}
-		picks = append(picks, pick)
-		missing = slices.DeleteFunc(missing, func(s string) bool { return slices.Contains(pick.Shards, s) })
+		s.replicas[i].Open++
+		picks = append(picks, Pick{Server: want.Service.Servers[i].Name, Shards: held})
+		missing = without(missing, held)
 	}
 	return picks, nil
 }
 
-func (t *Table) best(view *config.View, want Want, shards []string, now time.Time) (Pick, bool) {
+// without returns the shards that are not in held. The common case, in which
+// one replica holds all, needs no memory.
+func without(shards, held []string) []string {
+	if len(shards) == len(held) {
+		return nil
+	}
+	left := make([]string, 0, len(shards)-len(held))
+	for _, s := range shards {
+		if !slices.Contains(held, s) {
+			left = append(left, s)
+		}
+	}
+	return left
+}
+
+// best returns the position of the replica to ask for the shards and the ones
+// that it holds, or -1. A replica that is slow, down or has old figures is
+// tried again with one sub-request when its wait is over.
+func (t *Table) best(view *config.View, s *set, want Want, shards []string, now time.Time) (int, []string) {
 	var (
-		best  Pick
-		cost  time.Duration
-		found bool
+		best, again     = -1, -1
+		held, againHeld []string
+		cost            time.Duration
 	)
-	for _, server := range want.Service.Servers {
-		r, ok := t.replicas[server.Name]
-		if !ok || slices.Contains(want.Tried, server.Name) || !t.usable(view, server, r, now) {
+	for i, r := range s.replicas {
+		name := want.Service.Servers[i].Name
+		if slices.Contains(want.Tried, name) || !s.usable(i, now) || (want.Spare && !r.spare(now)) {
 			continue
 		}
-		held := r.held(want.Version, shards)
-		if len(held) == 0 {
+		h := r.held(want.Version, shards)
+		if len(h) == 0 {
 			continue
 		}
-		c := t.cost(view, server, r, want.Service, now)
-		if !found || len(held) > len(best.Shards) || (len(held) == len(best.Shards) && c < cost) {
-			best, cost, found = Pick{Server: server, Shards: held}, c, true
+		c := t.cost(view, s, i)
+		if best < 0 || len(h) > len(held) || (len(h) == len(held) && c < cost) {
+			best, held, cost = i, h, c
+		}
+		if !now.Before(r.Again) && (r.Late > 0 || r.Down || now.Sub(r.Seen) >= staleAfter) {
+			again, againHeld = i, h
 		}
 	}
-	return best, found
+	if again < 0 || again == best || want.Spare || len(want.Tried) > 0 || len(againHeld) < len(held) {
+		return best, held
+	}
+	r := s.replicas[again]
+	r.Again = now.Add(r.Wait)
+	return again, againHeld
 }
 
 // cost estimates the time until a replica would answer.
-func (t *Table) cost(view *config.View, server config.Server, r *Replica, service *config.Service, now time.Time) time.Duration {
-	var cost time.Duration
-	if now.Sub(r.Seen) < staleAfter {
-		cost = r.Figures.Latency + r.Figures.Latency*time.Duration(r.Figures.Queued+r.Figures.Busy)/time.Duration(max(1, service.Slots))
-	}
-	if server.Zone != t.zone {
+func (t *Table) cost(view *config.View, s *set, i int) time.Duration {
+	r := s.replicas[i]
+	latency := r.estimate()
+	load := max(r.Figures.Queued+r.Figures.Busy, r.Open)
+	cost := latency + latency*time.Duration(load)/time.Duration(max(1, s.service.Slots))
+	if s.service.Servers[i].Zone != t.zone {
 		cost += 2 * view.Value.Manifest.Network.Zone
 	}
-	if r.Down && now.Sub(r.Seen) < downFor {
-		cost += time.Minute
+	if r.Down || !r.Figures.Usable {
+		cost += avoid
 	}
-	return cost
+	return cost + time.Duration(jitter*t.rng.Float64()*float64(cost))
 }
 
-func (t *Table) usable(view *config.View, server config.Server, r *Replica, now time.Time) bool {
-	if view.IsOut(server.Zone) {
-		return false
-	}
-	return r.Figures.Usable || now.Sub(r.Seen) >= staleAfter
+// estimate is the service time that the next sub-request may take.
+func (r *Replica) estimate() time.Duration { return max(r.Figures.Latency, r.Late) }
+
+// spare reports whether a hedge is likely to find a free slot. Old figures say
+// nothing, and the owner checks again.
+func (r *Replica) spare(now time.Time) bool {
+	return !r.Down && (r.Figures.Free > 0 || now.Sub(r.Seen) >= spareAge)
 }
 
+// spareAge is the age above which the count of free slots says nothing.
+const spareAge = 100 * time.Millisecond
+
+// held returns those of the shards that the replica holds at a version.
 func (r *Replica) held(version shard.Version, shards []string) []string {
 	h, ok := r.Catalog.At(version)
 	if !ok {
 		return nil
 	}
-	var held []string
+	if slices.Equal(h.Shards, shards) {
+		return shards
+	}
+	count := 0
 	for _, s := range shards {
 		if slices.Contains(h.Shards, s) {
-			held = append(held, s)
+			count++
 		}
 	}
-	return held
-}
-
-// HedgeDelay returns how long to wait for a server of the service before a
-// hedge: the lowest recent tail among the replicas, since a straggler's own
-// tail would delay the hedge for too long.
-func (t *Table) HedgeDelay(service *config.Service) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delay := time.Duration(0)
-	for _, server := range service.Servers {
-		r, ok := t.replicas[server.Name]
-		if !ok || r.Figures.Tail == 0 {
-			continue
-		}
-		if delay == 0 || r.Figures.Tail < delay {
-			delay = r.Figures.Tail
+	if count == len(shards) {
+		return shards
+	}
+	held := make([]string, 0, count)
+	for _, s := range shards {
+		if slices.Contains(h.Shards, s) {
+			held = append(held, s)
 		}
 	}
-	return max(delay+hedgeMargin, hedgeFloor)
+	return held
 }
--- /dev/null
+++ b/route/snapshot.go
@@ -0,0 +1,62 @@
+package route
+
+import (
+	"time"
+
+	"hyssophub/config"
+	"hyssophub/shard"
+)
+
+// tieShare is the difference of coverage, in services, below which versions
+// count as equal; it absorbs rounding of the sums.
+const tieShare = 1e-9
+
+// Snapshot chooses the index version that covers the most of the services'
+// shards; among equals the newest.
+func (t *Table) Snapshot(view *config.View, services []string, now time.Time) (shard.Version, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum = t.sum[:0]
+	for _, name := range services {
+		service, ok := view.Service(name)
+		if !ok {
+			continue
+		}
+		for _, s := range t.set(view, service).coverage(now) {
+			t.add(s)
+		}
+	}
+	var best share
+	for _, s := range t.sum {
+		if s.covered > best.covered+tieShare || (s.covered > best.covered-tieShare && s.version > best.version) {
+			best = s
+		}
+	}
+	return best.version, len(t.sum) > 0
+}
+
+func (t *Table) add(s share) {
+	for i := range t.sum {
+		if t.sum[i].version == s.version {
+			t.sum[i].covered += s.covered
+			return
+		}
+	}
+	t.sum = append(t.sum, s)
+}
+
+// Map returns the partition map of a service at a version. Without a catalog
+// it returns the manifest's shards and false.
+func (t *Table) Map(view *config.View, service *config.Service, version shard.Version) ([]string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.set(view, service).replicas {
+		if !r.Known {
+			continue
+		}
+		if h, ok := r.Catalog.At(version); ok {
+			return h.All, true
+		}
+	}
+	return service.Shards, false
+}
--- a/route/table.go
+++ b/route/table.go
@@ -4,11 +4,12 @@
 package route
 
 import (
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"hyssophub/config"
+	"hyssophub/fault"
 	"hyssophub/shard"
 )
 
@@ -18,9 +19,14 @@
 	zone string
 
 	mu       sync.Mutex
+	rng      *rand.Rand
 	replicas map[string]*Replica
-	hedges   Budget
-	retries  Budget
+	view     *config.View
+	sets     map[string]*set
+	// sum is the scratch space of Snapshot.
+	sum     []share
+	hedges  Budget
+	retries Budget
 }
 
 // Replica is what the entry side knows of one backend server.
@@ -33,13 +39,26 @@
 	Seen time.Time
 	// Down is true from a failed exchange until the next good one.
 	Down bool
+	// Late is the age or the service time of a slow sub-request, until a good
+	// reply. It holds before the owner's median follows.
+	Late time.Duration
+	// Again is when a replica that is down or slow may be tried again, and
+	// Wait the time between two tries.
+	Again time.Time
+	Wait  time.Duration
+	// Open counts this host's sub-requests in progress.
+	Open int
+
+	set *set
 }
 
 // NewTable returns an empty table for an entry host in the given zone.
 func NewTable(zone string) *Table {
 	return &Table{
 		zone:     zone,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		replicas: make(map[string]*Replica),
+		sets:     make(map[string]*set),
 		hedges:   NewBudget(hedgeShare, hedgeBurst),
 		retries:  NewBudget(retryShare, retryBurst),
 	}
@@ -48,7 +67,7 @@
 func (t *Table) replica(server string) *Replica {
 	r, ok := t.replicas[server]
 	if !ok {
-		r = &Replica{Figures: shard.Figures{Server: server, Usable: true}}
+		r = &Replica{Figures: shard.Figures{Server: server, Usable: true}, Wait: firstWait}
 		t.replicas[server] = r
 	}
 	return r
@@ -63,7 +82,25 @@
 		r.Catalog = c
 		r.Known = true
 		r.Figures.Stamp = c.Stamp
+		r.set.forget()
+	}
+}
+
+// Lost removes a version from a server's catalog after the server refused it.
+// The owner's report of the change can be a poll interval away.
+func (t *Table) Lost(server string, version shard.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replica(server)
+	// The slice may be shared with the owner's table in the same process.
+	held := make([]shard.Held, 0, len(r.Catalog.Held))
+	for _, h := range r.Catalog.Held {
+		if h.Version != version {
+			held = append(held, h)
+		}
 	}
+	r.Catalog.Held = held
+	r.set.forget()
 }
 
 // Observe takes over the figures and the outcome of a result.
@@ -71,105 +108,88 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replica(result.Server)
-	if result.Figures.Server == "" {
-		r.Down = true
-		r.Seen = now
-		return
-	}
-	r.Figures = result.Figures
+	down, usable := r.Down, r.Figures.Usable
+	r.Down = failed(result)
 	r.Seen = now
-	_, r.Down = result.Outcome.(shard.Failed)
+	if result.Figures.Server != "" {
+		r.Figures = result.Figures
+	}
+	if r.Down != down || r.Figures.Usable != usable {
+		r.set.forget()
+	}
+	t.judge(r, result, now)
 }
 
-// Stale returns the servers among the given ones whose catalog is unknown or
-// outdated.
-func (t *Table) Stale(servers []string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var stale []string
-	for _, name := range servers {
-		r, ok := t.replicas[name]
-		if !ok || !r.Known || r.Catalog.Stamp != r.Figures.Stamp {
-			stale = append(stale, name)
-		}
+// failed reports whether a result speaks against sending more to its server.
+// A result without figures comes from a daemon that could not be reached.
+func failed(result shard.Result) bool {
+	switch o := result.Outcome.(type) {
+	case shard.Failed:
+		return true
+	case shard.Refused:
+		return o.Reason == fault.ReasonDown || o.Reason == fault.ReasonConnection || result.Figures.Server == ""
+	default:
+		return false
 	}
-	return stale
 }
 
-// Snapshot chooses the index version that covers the most of the services'
-// shards; among equals the newest.
-func (t *Table) Snapshot(view *config.View, services []string, now time.Time) (shard.Version, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	covered := make(map[shard.Version]float64)
-	for _, name := range services {
-		service, ok := view.Service(name)
-		if !ok {
-			continue
-		}
-		for version, share := range t.shares(view, service, now) {
-			covered[version] += share
-		}
+// judge sets when a replica that is down or slow is tried again. The wait
+// doubles with each bad result, since a trial costs a query its time.
+func (t *Table) judge(r *Replica, result shard.Result, now time.Time) {
+	if r.Down {
+		r.Again = now.Add(r.Wait)
+		r.Wait = min(2*r.Wait, longestDown)
+		return
 	}
-	var (
-		best shard.Version
-		top  float64
-	)
-	for version, share := range covered {
-		if share > top || (share == top && version > best) {
-			best, top = version, share
-		}
+	if _, ok := result.Outcome.(shard.Answered); !ok {
+		return
+	}
+	if result.Took > slowFactor*r.set.best()+slowMargin {
+		r.Late = result.Took
+		r.Again = now.Add(r.Wait)
+		r.Wait = min(2*r.Wait, longestWait)
+		return
+	}
+	r.Late = 0
+	r.Wait = firstWait
+	// A slow median with good replies belongs to a straggler that recovers.
+	if !r.Again.IsZero() && r.Again.After(now.Add(firstWait)) {
+		r.Again = now.Add(firstWait)
 	}
-	return best, len(covered) > 0
 }
 
-// shares returns for each version the covered share of a service's shards.
-func (t *Table) shares(view *config.View, service *config.Service, now time.Time) map[shard.Version]float64 {
-	shares := make(map[shard.Version]float64)
-	for _, server := range service.Servers {
-		r, ok := t.replicas[server.Name]
-		if !ok || !r.Known || !t.usable(view, server, r, now) {
-			continue
-		}
-		for _, h := range r.Catalog.Held {
-			if _, done := shares[h.Version]; done || len(h.All) == 0 {
-				continue
-			}
-			shares[h.Version] = t.share(view, service, h, now)
-		}
+// Overdue notes that a sub-request has waited for a server beyond the hedge
+// delay, so that the next queries avoid it before its first late reply.
+func (t *Table) Overdue(server string, age time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replica(server)
+	if age <= r.Late {
+		return
 	}
-	return shares
+	r.Late = age
+	r.Again = now.Add(r.Wait)
 }
 
-func (t *Table) share(view *config.View, service *config.Service, held shard.Held, now time.Time) float64 {
-	count := 0
-	for _, name := range held.All {
-		if slices.ContainsFunc(service.Servers, func(s config.Server) bool {
-			r, ok := t.replicas[s.Name]
-			return ok && t.usable(view, s, r, now) && r.holds(held.Version, name)
-		}) {
-			count++
-		}
-	}
-	return float64(count) / float64(len(held.All))
+// Done ends a sub-request that Choose counted as in progress.
+func (t *Table) Done(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replica(server)
+	r.Open = max(0, r.Open-1)
 }
 
-// Map returns the partition map of a service at a version. Without a catalog
-// it returns the manifest's shards and false.
-func (t *Table) Map(service *config.Service, version shard.Version) ([]string, bool) {
+// Stale returns the servers among the given ones whose catalog is unknown or
+// outdated.
+func (t *Table) Stale(servers []string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, server := range service.Servers {
-		if r, ok := t.replicas[server.Name]; ok && r.Known {
-			if h, ok := r.Catalog.At(version); ok {
-				return h.All, true
-			}
+	var stale []string
+	for _, name := range servers {
+		r, ok := t.replicas[name]
+		if !ok || !r.Known || r.Catalog.Stamp != r.Figures.Stamp {
+			stale = append(stale, name)
 		}
 	}
-	return service.Shards, false
-}
-
-func (r *Replica) holds(version shard.Version, name string) bool {
-	h, ok := r.Catalog.At(version)
-	return ok && slices.Contains(h.Shards, name)
+	return stale
 }
