route: Give each class its own budgets

Cause: routine overload emptied the hedge budget that urgent queries use. Change: hedge and retry budgets per class.

--- a/query/plan.go
+++ b/query/plan.go
@@ -33,7 +33,7 @@
 		r.needs = append(r.needs, needs...)
 		e.send = t.attempt(e.send, r, view, shards, needs, now, false)
 	}
-	t.route.Earn(len(e.send))
+	t.route.Earn(r.request.Class, len(e.send))
 	if r.settled() {
 		r.finish(now)
 	}
@@ -61,7 +61,7 @@
 	service := needs[0].service
 	want := route.Want{Service: service, Version: r.version, Shards: shards, Tried: triedBy(needs), Spare: hedge}
 	t.picks, _ = t.route.Choose(view, want, now, t.picks[:0])
-	if hedge && len(t.picks) > 0 && !t.route.SpendHedge(len(t.picks)) {
+	if hedge && len(t.picks) > 0 && !t.route.SpendHedge(r.request.Class, len(t.picks)) {
 		for _, p := range t.picks {
 			t.route.Done(p.Server)
 		}
--- a/query/retry.go
+++ b/query/retry.go
@@ -22,7 +22,7 @@
 func (t *Table) retry(r *record, a *attempt, pause time.Duration, now time.Time) effects {
 	e := effects{run: r.runs, pause: pause}
 	left, shards := open(a.needs)
-	if len(left) == 0 || !now.Before(r.request.Deadline) || !t.route.SpendRetry() {
+	if len(left) == 0 || !now.Before(r.request.Deadline) || !t.route.SpendRetry(r.request.Class) {
 		return e
 	}
 	e.send = t.attempt(nil, r, t.config.View(), shards, left, now, false)
@@ -78,7 +78,7 @@
 	}
 	r.waiting--
 	left, shards := open(needs)
-	if len(left) > 0 && now.Before(r.request.Deadline) && t.route.SpendRetry() {
+	if len(left) > 0 && now.Before(r.request.Deadline) && t.route.SpendRetry(r.request.Class) {
 		for _, n := range left {
 			n.tries = 0
 		}
@@ -107,7 +107,7 @@
 		if a.hedged || a.sub.Hedge {
 			continue
 		}
-		left := t.route.HedgeDelay(view, a.needs[0].service) - now.Sub(a.sent)
+		left := t.route.HedgeDelay(view, a.needs[0].service, r.request.Class) - now.Sub(a.sent)
 		if left <= 0 {
 			if !a.overdue {
 				a.overdue = true
--- a/route/budget.go
+++ b/route/budget.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssophub/config"
+	"hyssophub/shard"
 )
 
 // Shares and bursts of the budgets. Hedges may add 3% to the load on backend
@@ -52,32 +53,47 @@
 	return true
 }
 
-// Earn credits both budgets with n ordinary sub-requests.
-func (t *Table) Earn(n int) {
+// budgets holds the budgets of one class. Each class has its own, so that
+// routine overload cannot use up the hedges and retries of urgent queries.
+type budgets struct {
+	hedges  Budget
+	retries Budget
+}
+
+func newBudgets() [shard.Classes]budgets {
+	var list [shard.Classes]budgets
+	for c := range list {
+		list[c] = budgets{hedges: NewBudget(hedgeShare, hedgeBurst), retries: NewBudget(retryShare, retryBurst)}
+	}
+	return list
+}
+
+// Earn credits the budgets of a class with n ordinary sub-requests.
+func (t *Table) Earn(class shard.Class, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hedges.Earn(n)
-	t.retries.Earn(n)
+	t.budgets[class].hedges.Earn(n)
+	t.budgets[class].retries.Earn(n)
 }
 
-// SpendHedge reports whether n more hedges are within the budget.
-func (t *Table) SpendHedge(n int) bool {
+// SpendHedge reports whether n more hedges are within the budget of a class.
+func (t *Table) SpendHedge(class shard.Class, n int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hedges.Spend(n)
+	return t.budgets[class].hedges.Spend(n)
 }
 
-// SpendRetry reports whether one more retry is within the budget.
-func (t *Table) SpendRetry() bool {
+// SpendRetry reports whether one more retry is within the budget of a class.
+func (t *Table) SpendRetry(class shard.Class) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.retries.Spend(1)
+	return t.budgets[class].retries.Spend(1)
 }
 
 // HedgeDelay returns how long to wait for a server of the service before a
 // hedge: the lowest recent tail among the replicas, since a straggler's own
 // tail would delay the hedge for too long.
-func (t *Table) HedgeDelay(view *config.View, service *config.Service) time.Duration {
+func (t *Table) HedgeDelay(view *config.View, service *config.Service, class shard.Class) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	tail := time.Duration(0)
@@ -87,7 +103,7 @@
 		}
 	}
 	delay := max(tail+hedgeMargin+2*view.Value.Manifest.Network.Zone, hedgeFloor)
-	return delay + time.Duration(hedgeStretch*t.hedges.used()*float64(delay))
+	return delay + time.Duration(hedgeStretch*t.budgets[class].hedges.used()*float64(delay))
 }
 
 // used returns the spent part of the burst, from 0 to 1.
--- a/route/table.go
+++ b/route/table.go
@@ -25,8 +25,7 @@
 	sets     map[string]*set
 	// sum is the scratch space of Snapshot.
 	sum     []share
-	hedges  Budget
-	retries Budget
+	budgets [shard.Classes]budgets
 }
 
 // Replica is what the entry side knows of one backend server.
@@ -59,8 +58,7 @@
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		replicas: make(map[string]*Replica),
 		sets:     make(map[string]*set),
-		hedges:   NewBudget(hedgeShare, hedgeBurst),
-		retries:  NewBudget(retryShare, retryBurst),
+		budgets:  newBudgets(),
 	}
 }
 
