query: Test and measure the decisions

Cause: the policy had no scripts, properties or benchmarks. Unseen replicas are no longer tried only for being unseen. The properties fail when the version check or the check for double parts is removed.

--- /dev/null
+++ b/query/props_test.go
@@ -0,0 +1,273 @@
+package query
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/route"
+	"hyssophub/shard"
+)
+
+// TestQueries guards P1, P2 and P5 against any order of late, crossed,
+// truncated, foreign and refused results, and the budget of hedges.
+func TestQueries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"begin":  m.begin,
+			"result": m.result,
+			"hedge":  m.hedge,
+			"again":  m.again,
+			"learn":  m.learn,
+			"wait":   func(t *rapid.T) { m.wait(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond) },
+		})
+		m.wait(time.Second)
+		m.check(t)
+		if n := m.table.InProgress(); n > 0 {
+			t.Fatalf("%d sub-requests left after all deadlines", n)
+		}
+	})
+}
+
+// machine drives a table over a few services with several queries at once.
+type machine struct {
+	config  *config.Table
+	route   *route.Table
+	table   *Table
+	now     time.Time
+	records []*record
+	// sent holds all sub-requests, answered or not, for late results.
+	sent   []shard.Sub
+	paused []pausedStep
+	plain  int
+	hedges int
+}
+
+type pausedStep struct {
+	record *record
+	step   effects
+}
+
+const machineServices = 3
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{config: config.NewTable(), route: route.NewTable("a"), now: time.Unix(0, 0)}
+	m.table = NewTable(m.config, m.route)
+	value := config.Value{Revision: 1, Manifest: config.Manifest{Tenants: []config.Tenant{{Name: "t"}}}}
+	for i := range machineServices {
+		s := config.Service{Name: strconv.Itoa(i), Tenant: "t", Slots: 2, Shards: shardsOf(i, 1)}
+		for _, zone := range []string{"a", "b"} {
+			s.Servers = append(s.Servers, config.Server{Name: s.Name + zone, Zone: zone})
+		}
+		value.Manifest.Services = append(value.Manifest.Services, s)
+	}
+	m.config.Accept(value)
+	m.learn(t)
+	return m
+}
+
+// shardsOf is the partition map of a service at a version. Names recur between
+// versions, so that a part of another version is not told by its name.
+func shardsOf(service int, version shard.Version) []string {
+	var list []string
+	for i := range 2 + int(version%2) {
+		list = append(list, fmt.Sprintf("%d.%d", service, i))
+	}
+	return list
+}
+
+// learn draws new catalogs, so that versions come and go during queries.
+func (m *machine) learn(t *rapid.T) {
+	for i := range machineServices {
+		for _, zone := range []string{"a", "b"} {
+			c := shard.Catalog{Server: strconv.Itoa(i) + zone}
+			for v := shard.Version(1); v <= 3; v++ {
+				if all := shardsOf(i, v); rapid.Bool().Draw(t, "holds") {
+					c.Held = append(c.Held, shard.Held{Version: v, All: all, Shards: all[rapid.IntRange(0, 1).Draw(t, "from"):]})
+				}
+			}
+			m.route.Learn([]shard.Catalog{c})
+		}
+	}
+}
+
+func (m *machine) begin(t *rapid.T) {
+	if len(m.records) > 5 {
+		t.Skip("enough queries")
+	}
+	r := newRecord(Request{
+		ID: strconv.Itoa(len(m.records)), Tenant: "t", Services: []string{"0", "1", "2"}, Limit: 100,
+		Deadline: m.now.Add(200 * time.Millisecond),
+	}, m.now)
+	m.records = append(m.records, r)
+	m.apply(t, r, m.table.begin(r, m.now))
+}
+
+func (m *machine) apply(t *rapid.T, r *record, e effects) {
+	if r == nil {
+		return
+	}
+	for _, sub := range e.send {
+		if !m.now.Before(r.request.Deadline) {
+			t.Fatalf("sub-request sent after the deadline")
+		}
+		if sub.Hedge {
+			m.hedges++
+		} else {
+			m.plain++
+		}
+	}
+	m.sent = append(m.sent, e.send...)
+	if len(e.again) > 0 {
+		if !m.now.Add(e.pause).Before(r.request.Deadline) {
+			t.Fatalf("a pause of %s outlives the deadline", e.pause)
+		}
+		m.paused = append(m.paused, pausedStep{record: r, step: e})
+	}
+	m.check(t)
+}
+
+// result answers any sub-request that was ever sent, in any way.
+func (m *machine) result(t *rapid.T) {
+	if len(m.sent) == 0 {
+		t.Skip("nothing sent")
+	}
+	sub := rapid.SampledFrom(m.sent).Draw(t, "sub")
+	r := shard.Result{Sub: sub.ID, Server: sub.Server, Figures: shard.Figures{
+		Server: sub.Server, Latency: 10 * time.Millisecond, Tail: 10 * time.Millisecond, Free: 1, Usable: true,
+	}}
+	version, shards := sub.Version, sub.Shards
+	switch rapid.SampledFrom([]string{"good", "good", "good", "old", "short", "foreign", "crossed", "refused", "gone", "failed"}).Draw(t, "kind") {
+	case "old":
+		version = shard.Version(rapid.IntRange(0, 4).Draw(t, "version"))
+	case "short":
+		shards = shards[:len(shards)-1]
+	case "foreign":
+		shards = append(slices.Clone(shards), "9.9", shards[0])
+	case "crossed":
+		r.Server = rapid.SampledFrom(m.sent).Draw(t, "other").Server
+	case "refused":
+		r.Outcome = shard.Refused{Reason: fault.ReasonOverload}
+	case "gone":
+		r.Outcome = shard.Refused{Reason: fault.ReasonVersion}
+	case "failed":
+		r.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonConnection}
+	}
+	if r.Outcome == nil {
+		a := answered(version, shards)
+		for i := range a.Parts {
+			// The text tells the sub-request, so that a hit in the wrong
+			// answer is seen.
+			a.Parts[i].Hits[0].Text = sub.Request + "/" + strconv.FormatUint(uint64(version), 10)
+		}
+		r.Outcome = a
+	}
+	e, record := m.table.record(r, m.now)
+	m.apply(t, record, e)
+}
+
+func (m *machine) hedge(t *rapid.T) {
+	if len(m.records) == 0 {
+		t.Skip("no query")
+	}
+	r := rapid.SampledFrom(m.records).Draw(t, "query")
+	e, _ := m.table.hedge(r, m.now)
+	m.apply(t, r, e)
+}
+
+func (m *machine) again(t *rapid.T) {
+	if len(m.paused) == 0 {
+		t.Skip("no pause")
+	}
+	p := m.paused[0]
+	m.paused = m.paused[1:]
+	m.apply(t, p.record, m.table.again(p.record, p.step.run, p.step.again, m.now))
+}
+
+// wait lets time pass and ends the queries whose deadline is past, as the
+// callers' timers do.
+func (m *machine) wait(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, r := range m.records {
+		if !m.now.Before(r.request.Deadline) {
+			m.table.expire(r, m.now)
+		}
+		if r.finished {
+			m.table.forget(r)
+		}
+	}
+}
+
+// check compares every answer with what it merged.
+func (m *machine) check(t *rapid.T) {
+	// The burst of a budget is 20 and its share 2%, see package route.
+	if most := 20 + float64(m.plain)*0.03; float64(m.hedges) > most {
+		t.Fatalf("%d hedges for %d sub-requests", m.hedges, m.plain)
+	}
+	for _, r := range m.records {
+		if !r.finished {
+			continue
+		}
+		a := r.answer
+		want := a.Request + "/" + strconv.FormatUint(uint64(a.Snapshot), 10)
+		var found []string
+		for _, h := range a.Hits {
+			if h.Text != want {
+				t.Fatalf("hit %q of %q in the answer of %q", h.Key, h.Text, want)
+			}
+			found = append(found, h.Key)
+		}
+		if len(found) != a.Coverage.Covered {
+			t.Fatalf("covered %d, merged %v", a.Coverage.Covered, found)
+		}
+		for _, x := range a.Coverage.Missing {
+			found = append(found, x.Shard)
+		}
+		slices.Sort(found)
+		if len(found) != a.Coverage.Total || len(slices.Compact(found)) != a.Coverage.Total {
+			t.Fatalf("shards %v, total %d", found, a.Coverage.Total)
+		}
+	}
+}
+
+// TestMerge guards the heap against any parts, sorted or not: the result is
+// that of sorting all hits.
+func TestMerge(t *testing.T) {
+	hit := rapid.Custom(func(t *rapid.T) shard.Hit {
+		return shard.Hit{Key: rapid.StringMatching("[a-c]").Draw(t, "key"), Score: float64(rapid.IntRange(0, 3).Draw(t, "score"))}
+	})
+	part := rapid.Custom(func(t *rapid.T) shard.Part {
+		return shard.Part{Hits: rapid.SliceOfN(hit, 0, 6).Draw(t, "hits")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(part, 0, 8).Draw(t, "parts")
+		limit := rapid.IntRange(0, 30).Draw(t, "limit")
+		if got, want := Merge(parts, limit), mergeBySort(parts, limit); !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// mergeBySort is the merge before the heap, the reference of test and
+// benchmark.
+func mergeBySort(parts []shard.Part, limit int) []shard.Hit {
+	var hits []shard.Hit
+	for _, p := range parts {
+		hits = append(hits, p.Hits...)
+	}
+	slices.SortFunc(hits, func(a, b shard.Hit) int {
+		if a.Score != b.Score {
+			return cmp.Compare(b.Score, a.Score)
+		}
+		return cmp.Compare(a.Key, b.Key)
+	})
+	return hits[:min(limit, len(hits))]
+}
--- /dev/null
+++ b/query/query_test.go
@@ -0,0 +1,198 @@
+package query
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/props"
+	"hyssophub/route"
+	"hyssophub/shard"
+)
+
+func TestMain(m *testing.M) { os.Exit(props.Main(m)) }
+
+// TestScripts guards retries, hedges, reruns and coverage of one query against
+// the failures that the comments in the scripts name.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return s.run(t, d)
+		})
+	})
+}
+
+// script drives a table with one query. Sub-requests are numbered from one in
+// the order in which they were sent.
+type script struct {
+	config *config.Table
+	route  *route.Table
+	table  *Table
+	start  time.Time
+	now    time.Time
+	record *record
+	sent   []shard.Sub
+	paused effects
+}
+
+func newScript() *script {
+	s := &script{config: config.NewTable(), route: route.NewTable("a"), start: time.Unix(0, 0)}
+	s.now = s.start
+	s.table = NewTable(s.config, s.route)
+	return s
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "manifest":
+		s.config.Accept(config.Value{Revision: 1, Manifest: readManifest(d.Input)})
+	case "catalog":
+		s.route.Learn(readCatalogs(d.Input))
+	case "at":
+		s.now = s.start.Add(span(t, d, "time"))
+	case "begin":
+		services := s.config.View().ServicesOf("t")
+		s.record = newRecord(Request{ID: "q", Tenant: "t", Services: services, Limit: 100, Deadline: s.start.Add(500 * time.Millisecond)}, s.now)
+		return s.apply(s.table.begin(s.record, s.now))
+	case "answer", "refuse", "fail":
+		e, _ := s.table.record(s.result(t, d), s.now)
+		return s.apply(e)
+	case "again":
+		return s.apply(s.table.again(s.record, s.paused.run, s.paused.again, s.now))
+	case "hedge":
+		e, next := s.table.hedge(s.record, s.now)
+		return s.apply(e) + fmt.Sprintf("next %s\n", next)
+	case "expire":
+		s.table.expire(s.record, s.now)
+		s.table.forget(s.record)
+		return s.apply(effects{})
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return ""
+}
+
+// apply prints what a step sends, and the answer once the query has ended.
+func (s *script) apply(e effects) string {
+	var out strings.Builder
+	for _, sub := range e.send {
+		s.sent = append(s.sent, sub)
+		kind := ""
+		if sub.Hedge {
+			kind = " hedge"
+		}
+		fmt.Fprintf(&out, "send %d: %s version %d %s%s\n", len(s.sent), sub.Server, sub.Version, strings.Join(sub.Shards, "+"), kind)
+	}
+	if len(e.again) > 0 {
+		s.paused = e
+		fmt.Fprintf(&out, "again in %s\n", e.pause)
+	}
+	if s.record.finished {
+		a := s.record.answer
+		fmt.Fprintf(&out, "answer: version %d covered %d of %d hits %d extra %d open %d\n",
+			a.Snapshot, a.Coverage.Covered, a.Coverage.Total, len(a.Hits), a.Extra, s.table.InProgress())
+		for _, m := range a.Coverage.Missing {
+			fmt.Fprintf(&out, "missing %s: %s\n", m.Shard, m.Reason)
+		}
+	}
+	return out.String()
+}
+
+func (s *script) result(t *testing.T, d *datadriven.TestData) shard.Result {
+	var n int
+	d.ScanArgs(t, "sub", &n)
+	sub := s.sent[n-1]
+	r := shard.Result{Sub: sub.ID, Server: sub.Server, Took: 10 * time.Millisecond}
+	r.Figures = shard.Figures{Server: sub.Server, Latency: 10 * time.Millisecond, Tail: 10 * time.Millisecond, Free: 1, Usable: true}
+	if d.HasArg("from") {
+		d.ScanArgs(t, "from", &r.Server)
+	}
+	version, shards := sub.Version, sub.Shards
+	if d.HasArg("version") {
+		var v uint64
+		d.ScanArgs(t, "version", &v)
+		version = shard.Version(v)
+	}
+	if d.HasArg("shards") {
+		shards = strings.Split(text(t, d, "shards"), "+")
+	}
+	switch d.Cmd {
+	case "answer":
+		r.Outcome = answered(version, shards)
+	case "refuse":
+		r.Outcome = shard.Refused{Reason: fault.Reason(text(t, d, "reason"))}
+	case "fail":
+		r.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.Reason(text(t, d, "reason"))}
+	}
+	return r
+}
+
+// answered returns one hit for each shard, which names it.
+func answered(version shard.Version, shards []string) shard.Answered {
+	var a shard.Answered
+	for _, name := range shards {
+		a.Parts = append(a.Parts, shard.Part{Version: version, Shard: name, Hits: []shard.Hit{{
+			Key: name, Score: 1, Text: fmt.Sprint(version),
+		}}})
+	}
+	return a
+}
+
+// readManifest reads lines of the form "SERVICE SHARD+… SERVER@ZONE+…". The
+// table is in zone a, so that servers there are chosen first.
+func readManifest(input string) config.Manifest {
+	m := config.Manifest{Tenants: []config.Tenant{{Name: "t"}}, Network: config.Network{Zone: time.Millisecond}}
+	for line := range strings.Lines(input) {
+		words := strings.Fields(line)
+		s := config.Service{Name: words[0], Tenant: "t", Slots: 2, Shards: strings.Split(words[1], "+")}
+		for _, placed := range strings.Split(words[2], "+") {
+			name, zone, _ := strings.Cut(placed, "@")
+			s.Servers = append(s.Servers, config.Server{Name: name, Zone: zone})
+		}
+		m.Services = append(m.Services, s)
+	}
+	return m
+}
+
+// readCatalogs reads lines of the form "SERVER VERSION ALL SHARDS".
+func readCatalogs(input string) []shard.Catalog {
+	var list []shard.Catalog
+	for line := range strings.Lines(input) {
+		var (
+			server, all, shards string
+			version             shard.Version
+		)
+		if _, err := fmt.Sscan(line, &server, &version, &all, &shards); err != nil {
+			panic(err)
+		}
+		held := shard.Held{Version: version, All: strings.Split(all, "+"), Shards: strings.Split(shards, "+")}
+		i := slices.IndexFunc(list, func(c shard.Catalog) bool { return c.Server == server })
+		if i < 0 {
+			i = len(list)
+			list = append(list, shard.Catalog{Server: server})
+		}
+		list[i].Held = append(list[i].Held, held)
+	}
+	return list
+}
+
+func text(t *testing.T, d *datadriven.TestData, key string) (s string) {
+	d.ScanArgs(t, key, &s)
+	return s
+}
+
+func span(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	v, err := time.ParseDuration(text(t, d, key))
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
--- a/route/choose.go
+++ b/route/choose.go
@@ -90,13 +90,15 @@
 
 // best returns the position of the replica to ask for the shards and the ones
 // that it holds, or -1. A replica that is slow, down or has old figures is
-// tried again with one sub-request when its wait is over.
+// tried again with one sub-request when its wait is over, so that a straggler
+// that recovered is found and one that did not delays few queries.
 func (t *Table) best(view *config.View, s *set, want Want, shards []string, now time.Time) (int, []string) {
 	var (
 		best, again     = -1, -1
 		held, againHeld []string
 		cost            time.Duration
 	)
+	fastest := s.best()
 	for i, r := range s.replicas {
 		name := want.Service.Servers[i].Name
 		if slices.Contains(want.Tried, name) || !s.usable(i, now) || (want.Spare && !r.spare(now)) {
@@ -110,7 +112,7 @@
 		if best < 0 || len(h) > len(held) || (len(h) == len(held) && c < cost) {
 			best, held, cost = i, h, c
 		}
-		if !now.Before(r.Again) && (r.Late > 0 || r.Down || now.Sub(r.Seen) >= staleAfter) {
+		if !now.Before(r.Again) && r.doubtful(fastest, now) {
 			again, againHeld = i, h
 		}
 	}
@@ -122,6 +124,12 @@
 	return again, againHeld
 }
 
+// doubtful reports whether what speaks against a replica may have changed: it
+// is slow, down, or has old figures above the fastest replica's.
+func (r *Replica) doubtful(fastest time.Duration, now time.Time) bool {
+	return r.Late > 0 || r.Down || (now.Sub(r.Seen) >= staleAfter && (r.Figures.Latency > fastest || !r.Figures.Usable))
+}
+
 // cost estimates the time until a replica would answer.
 func (t *Table) cost(view *config.View, s *set, i int) time.Duration {
 	r := s.replicas[i]
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,203 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"hyssophub/config"
+	"hyssophub/fault"
+	"hyssophub/props"
+	"hyssophub/shard"
+)
+
+func TestMain(m *testing.M) { os.Exit(props.Main(m)) }
+
+// TestScripts guards the choice of snapshots and replicas and the budgets
+// against the failures that the comments in the scripts name.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{start: time.Unix(0, 0)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return s.run(t, d)
+		})
+	})
+}
+
+type script struct {
+	table *Table
+	view  *config.View
+	start time.Time
+	now   time.Time
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "service":
+		s.service(t, d)
+	case "out":
+		value := s.view.Value
+		value.Out = []string{text(t, d, "zone")}
+		s.view = config.NewView(value)
+	case "at":
+		s.now = s.start.Add(span(t, d, "time"))
+	case "catalog":
+		s.table.Learn([]shard.Catalog{catalog(t, d)})
+	case "lost":
+		s.table.Lost(text(t, d, "server"), shard.Version(number(t, d, "version")))
+	case "result":
+		s.table.Observe(result(t, d), s.now)
+	case "overdue":
+		s.table.Overdue(text(t, d, "server"), span(t, d, "age"), s.now)
+	case "snapshot":
+		version, ok := s.table.Snapshot(s.view, s.view.ServicesOf("t"), s.now)
+		return fmt.Sprintf("%d %t", version, ok)
+	case "choose":
+		return s.choose(t, d)
+	case "delay":
+		return s.table.HedgeDelay(s.view, &s.view.Value.Manifest.Services[0], shard.Urgent).String()
+	case "earn":
+		s.table.Earn(shard.Urgent, int(number(t, d, "n")))
+	case "spend":
+		return s.spend(t, d)
+	default:
+		d.Fatalf(t, "unknown command")
+	}
+	return ""
+}
+
+// service adds a service; the first one starts a new table.
+func (s *script) service(t *testing.T, d *datadriven.TestData) {
+	service := config.Service{
+		Name: text(t, d, "name"), Tenant: "t", Slots: 2, Shards: strings.Split(text(t, d, "shards"), "+"),
+	}
+	for _, placed := range strings.Split(text(t, d, "servers"), "+") {
+		name, zone, _ := strings.Cut(placed, "@")
+		service.Servers = append(service.Servers, config.Server{Name: name, Zone: zone})
+	}
+	if s.table == nil {
+		s.table = NewTable("a")
+		s.table.rng = rand.New(rand.NewPCG(1, 1))
+		s.view = config.NewView(config.Value{Manifest: config.Manifest{
+			Network: config.Network{Zone: time.Millisecond},
+			Tenants: []config.Tenant{{Name: "t"}},
+		}})
+		s.now = s.start
+	}
+	value := s.view.Value
+	value.Manifest.Services = append(value.Manifest.Services, service)
+	s.view = config.NewView(value)
+}
+
+// choose counts the picks of n choices, each of which ends at once.
+func (s *script) choose(t *testing.T, d *datadriven.TestData) string {
+	want := Want{
+		Service: &s.view.Value.Manifest.Services[0],
+		Version: shard.Version(number(t, d, "version")),
+		Shards:  strings.Split(text(t, d, "shards"), "+"),
+		Spare:   d.HasArg("spare"),
+	}
+	if d.HasArg("tried") {
+		want.Tried = strings.Split(text(t, d, "tried"), "+")
+	}
+	counts := make(map[string]int)
+	var order []string
+	for range number(t, d, "n") {
+		picks, missing := s.table.Choose(s.view, want, s.now, nil)
+		for _, p := range picks {
+			if !d.HasArg("keep") {
+				s.table.Done(p.Server)
+			}
+			order = appendNew(order, counts, p.Server+" "+strings.Join(p.Shards, "+"))
+		}
+		if len(missing) > 0 {
+			order = appendNew(order, counts, "missing "+strings.Join(missing, "+"))
+		}
+	}
+	var out strings.Builder
+	for _, o := range order {
+		fmt.Fprintf(&out, "%s: %d\n", o, counts[o])
+	}
+	return out.String()
+}
+
+func appendNew(order []string, counts map[string]int, key string) []string {
+	counts[key]++
+	if counts[key] > 1 {
+		return order
+	}
+	return append(order, key)
+}
+
+func (s *script) spend(t *testing.T, d *datadriven.TestData) string {
+	class := shard.Urgent
+	if d.HasArg("routine") {
+		class = shard.Routine
+	}
+	granted := 0
+	for range number(t, d, "n") {
+		if s.table.SpendHedge(class, 1) {
+			granted++
+		}
+	}
+	return fmt.Sprintf("granted %d", granted)
+}
+
+func catalog(t *testing.T, d *datadriven.TestData) shard.Catalog {
+	c := shard.Catalog{Server: text(t, d, "server")}
+	for _, line := range strings.Split(d.Input, "\n") {
+		var (
+			version     shard.Version
+			all, shards string
+		)
+		if _, err := fmt.Sscan(line, &version, &all, &shards); err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		c.Held = append(c.Held, shard.Held{Version: version, All: strings.Split(all, "+"), Shards: strings.Split(shards, "+")})
+	}
+	return c
+}
+
+func result(t *testing.T, d *datadriven.TestData) shard.Result {
+	server := text(t, d, "server")
+	r := shard.Result{Server: server, Outcome: shard.Answered{}, Figures: shard.Figures{Server: server, Usable: true, Free: 2}}
+	if d.HasArg("took") {
+		r.Took = span(t, d, "took")
+	}
+	if d.HasArg("latency") {
+		r.Figures.Latency = span(t, d, "latency")
+		r.Figures.Tail = 2 * r.Figures.Latency
+	}
+	if d.HasArg("busy") {
+		r.Figures.Busy = int(number(t, d, "busy"))
+		r.Figures.Free = max(0, 2-r.Figures.Busy)
+	}
+	if d.HasArg("refused") {
+		r.Outcome = shard.Refused{Reason: fault.Reason(text(t, d, "refused"))}
+		r.Figures.Usable = text(t, d, "refused") != string(fault.ReasonDraining)
+	}
+	return r
+}
+
+func text(t *testing.T, d *datadriven.TestData, key string) (s string) {
+	d.ScanArgs(t, key, &s)
+	return s
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string) (n uint64) {
+	d.ScanArgs(t, key, &n)
+	return n
+}
+
+func span(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	v, err := time.ParseDuration(text(t, d, key))
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
--- a/route/table.go
+++ b/route/table.go
@@ -142,7 +142,7 @@
 	if _, ok := result.Outcome.(shard.Answered); !ok {
 		return
 	}
-	if result.Took > slowFactor*r.set.best()+slowMargin {
+	if best := r.set.best(); best > 0 && result.Took > slowFactor*best+slowMargin {
 		r.Late = result.Took
 		r.Again = now.Add(r.Wait)
 		r.Wait = min(2*r.Wait, longestWait)
