query: Plan with blocks of memory and count needs

Cause: planning took 2.4 to 5.7 us a sub-request, and each result scanned all needs of its query. Change: one block each for needs and attempts of a run, attempts without a copy of the sub-request, and counters for what is in progress.

--- a/query/plan.go
+++ b/query/plan.go
@@ -20,19 +20,17 @@
 	t.drop(r)
 	r.runs++
 	r.version, _ = t.route.Snapshot(view, r.request.Services, now)
-	r.needs, r.parts, r.waiting = nil, nil, 0
-	e := effects{send: make([]shard.Sub, 0, len(r.request.Services))}
-	r.open = make([]*attempt, 0, len(r.request.Services))
-	for _, name := range r.request.Services {
-		service, ok := view.Service(name)
-		if !ok {
-			continue
-		}
-		shards, known := t.route.Map(view, service, r.version)
-		needs := newNeeds(service, shards, known)
-		r.needs = append(r.needs, needs...)
-		e.send = t.attempt(e.send, r, view, shards, needs, now, false)
+	r.parts, r.pending, r.waiting = nil, 0, 0
+	n := len(r.request.Services)
+	e := effects{send: make([]shard.Sub, 0, n)}
+	r.open = make([]*attempt, 0, n)
+	r.spare = make([]attempt, n)
+	plans := t.plans(r, view)
+	for i := range plans {
+		p := &plans[i]
+		e.send = t.attempt(e.send, r, view, p.shards, p.needs, now, false)
 	}
+	r.parts = make([]shard.Part, 0, len(r.needs))
 	t.route.Earn(r.request.Class, len(e.send))
 	if r.settled() {
 		r.finish(now)
@@ -40,19 +38,47 @@
 	return e
 }
 
-// newNeeds returns the needs for a service's shards in one block of memory.
-func newNeeds(service *config.Service, shards []string, known bool) []*need {
-	reason := fault.ReasonNoReplica
-	if !known {
-		reason = fault.ReasonVersion
+// plan is what a query wants of one service.
+type plan struct {
+	service *config.Service
+	shards  []string
+	known   bool
+	needs   []*need
+}
+
+// plans returns the needs of a query by service. The needs share one block of
+// memory, since a query has hundreds.
+func (t *Table) plans(r *record, view *config.View) []plan {
+	plans := make([]plan, 0, len(r.request.Services))
+	total := 0
+	for _, name := range r.request.Services {
+		service, ok := view.Service(name)
+		if !ok {
+			continue
+		}
+		shards, known := t.route.Map(view, service, r.version)
+		if len(shards) == 0 {
+			continue
+		}
+		total += len(shards)
+		plans = append(plans, plan{service: service, shards: shards, known: known})
 	}
-	block := make([]need, len(shards))
-	needs := make([]*need, len(shards))
-	for i, s := range shards {
-		block[i] = need{service: service, shard: s, reason: reason}
-		needs[i] = &block[i]
+	block := make([]need, total)
+	r.needs = make([]*need, 0, total)
+	for i := range plans {
+		p := &plans[i]
+		first := len(r.needs)
+		for _, s := range p.shards {
+			n := &block[len(r.needs)]
+			*n = need{service: p.service, shard: s, reason: fault.ReasonNoReplica}
+			if !p.known {
+				n.reason = fault.ReasonVersion
+			}
+			r.needs = append(r.needs, n)
+		}
+		p.needs = r.needs[first:len(r.needs):len(r.needs)]
 	}
-	return needs
+	return plans
 }
 
 // attempt creates the sub-requests that cover needs of one service, whose
@@ -83,9 +109,13 @@
 			Deadline: r.request.Deadline,
 			Hedge:    hedge,
 		}
-		a := &attempt{sub: sub, record: r, sent: now, needs: asked(needs, p.Shards), place: len(r.open)}
+		a := r.newAttempt()
+		*a = attempt{
+			id: sub.ID, server: sub.Server, version: sub.Version, hedge: hedge,
+			record: r, sent: now, needs: asked(needs, p.Shards), place: len(r.open),
+		}
 		for _, n := range a.needs {
-			n.try(p.Server)
+			r.try(n, p.Place)
 		}
 		t.attempts[sub.ID] = a
 		r.open = append(r.open, a)
@@ -95,6 +125,17 @@
 	return subs
 }
 
+// newAttempt returns memory for an attempt, from the block of the run while it
+// lasts.
+func (r *record) newAttempt() *attempt {
+	if len(r.spare) == 0 {
+		return &attempt{}
+	}
+	a := &r.spare[0]
+	r.spare = r.spare[1:]
+	return a
+}
+
 // asked returns the needs for the given shards.
 func asked(needs []*need, shards []string) []*need {
 	if len(needs) == len(shards) {
@@ -113,7 +154,9 @@
 func triedBy(needs []*need) []string {
 	var tried []string
 	for _, n := range needs {
-		tried = append(tried, n.tried[:n.tries]...)
+		for _, place := range n.tried[:n.tries] {
+			tried = append(tried, n.service.Servers[place].Name)
+		}
 	}
 	return tried
 }
--- a/query/props_test.go
+++ b/query/props_test.go
@@ -214,6 +214,15 @@
 	}
 	for _, r := range m.records {
 		if !r.finished {
+			pending := 0
+			for _, n := range r.needs {
+				if !n.covered && n.open > 0 {
+					pending++
+				}
+			}
+			if pending != r.pending {
+				t.Fatalf("counter %d, needs in progress %d", r.pending, pending)
+			}
 			continue
 		}
 		a := r.answer
--- a/query/record.go
+++ b/query/record.go
@@ -13,37 +13,44 @@
 type need struct {
 	service *config.Service
 	shard   string
-	covered bool
 	reason  fault.Reason
-	// open counts the attempts in progress for the shard.
-	open int
-	// attempts counts all attempts, and tried names the servers of those since
-	// the last pause.
-	attempts int
-	tried    [maxAttempts]string
-	tries    int
+	// tried holds the positions in the service of the servers that were tried
+	// since the last pause; tries counts them.
+	tried [maxAttempts]uint16
+	tries uint8
+	// attempts counts all attempts, and open those in progress.
+	attempts uint8
+	open     uint8
+	covered  bool
 }
 
 // attempt is a sub-request in progress.
 type attempt struct {
-	sub    shard.Sub
-	record *record
-	needs  []*need
-	sent   time.Time
+	id      uint64
+	server  string
+	version shard.Version
+	record  *record
+	needs   []*need
+	sent    time.Time
 	// place is the position in the record's open attempts.
 	place   int
+	hedge   bool
 	overdue bool
 	hedged  bool
 }
 
 // record is a query in progress. The table's lock guards it.
 type record struct {
-	request  Request
-	started  time.Time
-	version  shard.Version
-	needs    []*need
-	parts    []shard.Part
-	open     []*attempt
+	request Request
+	started time.Time
+	version shard.Version
+	needs   []*need
+	parts   []shard.Part
+	open    []*attempt
+	spare   []attempt
+	// pending counts the uncovered needs with attempts in progress, and waiting
+	// the pauses in progress. Counters keep the cost of a result flat.
+	pending  int
 	waiting  int
 	runs     int
 	pauses   int
@@ -63,11 +70,37 @@
 }
 
 // settled reports whether nothing is left to wait for.
-func (r *record) settled() bool {
-	if r.waiting > 0 {
-		return false
+func (r *record) settled() bool { return r.waiting == 0 && r.pending == 0 }
+
+// try counts an attempt for a need at the server in the given place of the
+// service.
+func (r *record) try(n *need, place int) {
+	if !n.covered && n.open == 0 {
+		r.pending++
+	}
+	n.open++
+	n.attempts++
+	if int(n.tries) < len(n.tried) {
+		n.tried[n.tries] = uint16(place)
+		n.tries++
 	}
-	return !slices.ContainsFunc(r.needs, func(n *need) bool { return !n.covered && n.open > 0 })
+}
+
+// end counts the end of an attempt for a need.
+func (r *record) end(n *need) {
+	n.open--
+	if !n.covered && n.open == 0 {
+		r.pending--
+	}
+}
+
+// cover takes the part for a need.
+func (r *record) cover(n *need, p shard.Part) {
+	if n.open > 0 {
+		r.pending--
+	}
+	n.covered = true
+	r.parts = append(r.parts, p)
 }
 
 // accept takes the parts of an answer that belong to the pinned version and to
@@ -81,8 +114,7 @@
 		if i < 0 || a.needs[i].covered {
 			continue
 		}
-		a.needs[i].covered = true
-		r.parts = append(r.parts, p)
+		r.cover(a.needs[i], p)
 	}
 }
 
@@ -95,16 +127,6 @@
 	}
 }
 
-// try counts an attempt at a server.
-func (n *need) try(server string) {
-	n.open++
-	n.attempts++
-	if n.tries < len(n.tried) {
-		n.tried[n.tries] = server
-		n.tries++
-	}
-}
-
 // coverage lists what is covered and what is missing. A shard whose attempts
 // are still open is missing because of the deadline.
 func (r *record) coverage() Coverage {
--- a/query/retry.go
+++ b/query/retry.go
@@ -104,14 +104,14 @@
 	}
 	view := t.config.View()
 	for _, a := range slices.Clone(r.open) {
-		if a.hedged || a.sub.Hedge {
+		if a.hedged || a.hedge {
 			continue
 		}
 		left := t.route.HedgeDelay(view, a.needs[0].service, r.request.Class) - now.Sub(a.sent)
 		if left <= 0 {
 			if !a.overdue {
 				a.overdue = true
-				t.route.Overdue(a.sub.Server, now.Sub(a.sent), now)
+				t.route.Overdue(a.server, now.Sub(a.sent), now)
 			}
 			before := len(e.send)
 			e.send = t.duplicate(e.send, r, a, now)
--- a/query/table.go
+++ b/query/table.go
@@ -61,7 +61,7 @@
 	defer t.mu.Unlock()
 	t.route.Observe(result, now)
 	a, ok := t.attempts[result.Sub]
-	if !ok || a.sub.Server != result.Server {
+	if !ok || a.server != result.Server {
 		return effects{}, nil
 	}
 	t.close(a)
@@ -78,7 +78,7 @@
 		a.fail(o.Reason)
 		pause = max(pause, o.RetryAfter)
 		if o.Reason == fault.ReasonVersion {
-			t.route.Lost(a.sub.Server, a.sub.Version)
+			t.route.Lost(a.server, a.version)
 		}
 	case shard.Failed:
 		a.fail(o.Reason)
@@ -120,8 +120,8 @@
 // drop removes the open attempts of a query.
 func (t *Table) drop(r *record) {
 	for _, a := range r.open {
-		delete(t.attempts, a.sub.ID)
-		t.route.Done(a.sub.Server)
+		delete(t.attempts, a.id)
+		t.route.Done(a.server)
 	}
 	r.open = nil
 }
@@ -135,14 +135,14 @@
 
 // close ends one attempt.
 func (t *Table) close(a *attempt) {
-	delete(t.attempts, a.sub.ID)
-	t.route.Done(a.sub.Server)
+	delete(t.attempts, a.id)
+	t.route.Done(a.server)
 	open := a.record.open
 	last := open[len(open)-1]
 	open[a.place] = last
 	last.place = a.place
 	a.record.open = open[:len(open)-1]
 	for _, n := range a.needs {
-		n.open--
+		a.record.end(n)
 	}
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -47,9 +47,11 @@
 	Spare bool
 }
 
-// Pick is a chosen server with the shards it shall answer.
+// Pick is a chosen server, its place in the service and the shards it shall
+// answer.
 type Pick struct {
 	Server string
+	Place  int
 	Shards []string
 }
 
@@ -67,7 +69,7 @@
 			return picks, missing
 		}
 		s.replicas[i].Open++
-		picks = append(picks, Pick{Server: want.Service.Servers[i].Name, Shards: held})
+		picks = append(picks, Pick{Server: want.Service.Servers[i].Name, Place: i, Shards: held})
 		missing = without(missing, held)
 	}
 	return picks, nil
