--- a/once/calls.go
+++ b/once/calls.go
@@ -140,10 +140,14 @@
 	if !ok {
 		return pick{}, false
 	}
-	shards, _ := e.route.Map(service, version)
-	picks, _ := e.route.Choose(view, route.Want{Service: service, Version: version, Shards: shards, Tried: tried}, now)
+	shards, _ := e.route.Map(view, service, version)
+	picks, _ := e.route.Choose(view, route.Want{Service: service, Version: version, Shards: shards, Tried: tried}, now, nil)
+	for _, p := range picks {
+		// Writes are few; they do not count as load in the choice of replicas.
+		e.route.Done(p.Server)
+	}
 	if len(picks) == 0 {
 		return pick{}, false
 	}
-	return pick{server: picks[0].Server, version: version}, true
+	return pick{server: service.Servers[picks[0].Place], version: version}, true
 }
--- a/once/table.go
+++ b/once/table.go
@@ -310,7 +310,7 @@
 
 // take records the result of a sub-request. It reports false for results that
 // belong to no request of the table.
-func (t *Table) take(res shard.Result, retry func() bool) (*record, next, bool) {
+func (t *Table) take(res shard.Result, retry func(shard.Class) bool) (*record, next, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.subs[res.Sub]
@@ -334,14 +334,14 @@
 // outcome decides on the result of the open sub-request. Only the receipt of a
 // backend server proves a run: a failure that claims one may stem from an
 // answer to another request.
-func (t *Table) outcome(r *record, outcome shard.Outcome, retry func() bool) next {
+func (t *Table) outcome(r *record, outcome shard.Outcome, retry func(shard.Class) bool) next {
 	switch o := outcome.(type) {
 	case shard.Answered:
 		r.end(result{receipt: Receipt{Receipt: o.Receipt}}, Done{Claim: r.claim, Receipt: o.Receipt})
 		return t.closing(r)
 	case shard.Refused:
 		r.phase, r.reason, r.after = waiting{}, o.Reason, o.RetryAfter
-		if len(r.ids) < maxAttempts && retry() {
+		if len(r.ids) < maxAttempts && retry(r.request.Class) {
 			return dispatchNext{}
 		}
 		r.refuse(o.Reason, o.RetryAfter, "service %s refused the request", r.request.Service)
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -116,6 +116,10 @@
 // so the queue cannot exceed the owned servers' slots by much.
 const queueLimit = 1 << 16
 
+// deliverTimeout ends a delivery to a host that does not answer, which would
+// otherwise hold a worker and Close.
+const deliverTimeout = 2 * time.Second
+
 // NewEngine starts the workers.
 func NewEngine(table *Table, backend Backend, courier Courier, options Options) *Engine {
 	e := &Engine{
@@ -296,5 +300,7 @@
 		return
 	}
 	// Entry hosts treat results that never arrive as not covered.
-	_ = e.courier.Deliver(e.ctx, host, results)
+	ctx, cancel := context.WithTimeout(e.ctx, deliverTimeout)
+	defer cancel()
+	_ = e.courier.Deliver(ctx, host, results)
 }
--- a/route/drain.go
+++ b/route/drain.go
@@ -9,4 +9,5 @@
 	r := t.replica(server)
 	r.Figures.Usable = false
 	r.Seen = now
+	r.set.forget()
 }
--- a/trial/baseline.go
+++ b/trial/baseline.go
@@ -46,7 +46,7 @@
 				turn:  make(map[string]*atomic.Uint64),
 				slots: make(map[string]chan struct{}),
 			}
-			network.join(h.name, z.Name, nil)
+			network.join(h.name, z.Name, nil, nil)
 			for _, s := range manifest.Services {
 				h.turn[s.Name] = &atomic.Uint64{}
 				for _, server := range s.Servers {
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -77,13 +77,16 @@
 func (f *Fleet) start(i int) {
 	h := f.hosts[i]
 	platform := view{platform: f.platform, network: f.network, host: h.Name}
+	h.Incarnation = uint64(time.Now().UnixMilli())
+	others := peers{network: f.network, host: h.Name}
 	core := daemon.NewCore(h, daemon.Ports{
 		KV:      platform,
 		Hosts:   platform,
-		Peers:   peers{network: f.network, host: h.Name},
+		Peers:   others,
+		Beats:   others,
 		Backend: port{backends: f.backends, network: f.network, host: h.Name},
 	}, logs.Discard())
-	f.network.join(h.Name, h.Zone, core.Handler())
+	f.network.join(h.Name, h.Zone, core.Handler(), core.Beat)
 	f.mu.Lock()
 	f.cores[i], f.live[i] = core, true
 	f.mu.Unlock()
