Report ready only with a configuration, catalogs and the zone in service

Cause: a host reported ready before it knew any catalog, so that callers got answers with all shards missing, and hosts of a zone that was out stayed in the balancer. Change: readiness asks the core; it needs a configuration, 95% of the catalogs (or 5 s), and the own zone in. Conclusion: a cut-off zone still becomes ready after 5 s.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -123,14 +123,10 @@
 // outdated.
 func (c *Core) refreshCatalogs() {
 	view := c.config.View()
-	var names []string
-	for _, s := range view.Value.Manifest.Services {
-		for _, server := range s.Servers {
-			names = append(names, server.Name)
-		}
-	}
+	stale := c.routes.Stale(serverNames(view))
+	c.noteCatalogs(view, len(stale))
 	hosts := make(map[string]bool)
-	for _, name := range c.routes.Stale(names) {
+	for _, name := range stale {
 		if host, ok := (directory{c}).OwnerOf(name); ok {
 			hosts[host] = true
 		}
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -68,6 +69,11 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
+	// started is when the control jobs began, and learned becomes true once
+	// the host knows the catalogs.
+	started time.Time
+	learned atomic.Bool
+
 	// owning serialises changes of ownership. It comes before all tables in
 	// the lock order.
 	owning   sync.Mutex
@@ -107,6 +113,7 @@
 
 // Start begins the control jobs and the heartbeats.
 func (c *Core) Start() {
+	c.started = time.Now()
 	c.startControl()
 	c.tickAfter(0)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,7 +49,7 @@
 		_ = d.Close()
 		return nil, err
 	}
-	d.callers.serve(entry.NewHandler(d.core, d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.ready.Load))
+	d.callers.serve(entry.NewHandler(d.core, d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.Ready))
 	d.others.serve(peer.NewHandler(handler{d.core}))
 	d.admin.serve(d.operators)
 	d.beats.Start(d.core.Beat)
@@ -96,6 +96,9 @@
 	return d.stats.Observe(sources{core: d.core, platform: d.platform})
 }
 
+// Ready reports whether the balancer shall send callers here.
+func (d *Daemon) Ready() bool { return d.ready.Load() && d.core.Ready() }
+
 // CallerAddress returns the address that callers use.
 func (d *Daemon) CallerAddress() string { return d.callers.address() }
 
