--- a/kvhttp/kvhttp_test.go
+++ b/kvhttp/kvhttp_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -81,26 +80,6 @@
 	require.Equal(t, []store.HostInfo{{Name: "entry-a", Kind: store.KindEntry, State: store.HostLive}}, hosts)
 }
 
-// Guards against retries without a pause, and against retries of a refusal.
-func TestRetryBacksOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		start, calls := time.Now(), 0
-		_, err := Retry(t.Context(), 5, func(context.Context) (int, error) {
-			calls++
-			return 0, store.ErrUnavailable
-		})
-		require.ErrorIs(t, err, store.ErrUnavailable)
-		require.Equal(t, 5, calls)
-		require.GreaterOrEqual(t, time.Since(start), (20+40+80+160)*time.Millisecond/2)
-		_, err = Retry(t.Context(), 5, func(context.Context) (int, error) {
-			calls++
-			return 0, store.ErrConflict
-		})
-		require.ErrorIs(t, err, store.ErrConflict)
-		require.Equal(t, 6, calls)
-	})
-}
-
 // Guards against answers of the platform that crash the decoders or pass as
 // proof without a revision.
 func FuzzDecode(f *testing.F) {
