--- a/route/set.go
+++ b/route/set.go
@@ -23,10 +23,11 @@
 }
 
 // share is the covered part of a service's, or of several services', shards at
-// a version.
+// a version. Services counts the services whose partition map is known.
 type share struct {
-	version shard.Version
-	covered float64
+	version  shard.Version
+	covered  float64
+	services int
 }
 
 // set returns the replicas of a service under a view.
@@ -83,7 +84,13 @@
 	return !s.out[i] && (r.Figures.Usable || now.Sub(r.Seen) >= staleAfter)
 }
 
-// coverage returns the covered share of the service's shards for each version.
+// live reports whether some replica's catalog is known and the replica is up.
+func (s *set) live() bool {
+	return slices.ContainsFunc(s.replicas, func(r *Replica) bool { return r.Known && !r.Down })
+}
+
+// coverage returns the covered share of the service's shards for each version
+// whose partition map is known.
 func (s *set) coverage(now time.Time) []share {
 	if s.known && (s.until.IsZero() || now.Before(s.until)) {
 		return s.shares
@@ -98,10 +105,10 @@
 		if !r.Known {
 			continue
 		}
-		for _, h := range r.Catalog.Held {
+		for _, h := range r.Past {
 			done := slices.ContainsFunc(s.shares, func(x share) bool { return x.version == h.Version })
 			if !done && len(h.All) > 0 {
-				s.shares = append(s.shares, share{version: h.Version, covered: s.covered(h, now)})
+				s.shares = append(s.shares, share{version: h.Version, covered: s.covered(h, now), services: 1})
 			}
 		}
 	}
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -12,22 +12,38 @@
 const tieShare = 1e-9
 
 // Snapshot chooses the index version that covers the most of the services'
-// shards; among equals the newest.
+// shards; among equals the newest. Versions whose partition map is known for
+// all services with a live replica come first: with another version, the
+// coverage would count the shards of the manifest instead of the version's. A
+// service without a live replica may never report the map, so it does not count.
 func (t *Table) Snapshot(view *config.View, services []string, now time.Time) (shard.Version, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum = t.sum[:0]
+	mapped := 0
 	for _, name := range services {
 		service, ok := view.Service(name)
 		if !ok {
 			continue
 		}
-		for _, s := range t.set(view, service).coverage(now) {
+		replicas := t.set(view, service)
+		if replicas.live() {
+			mapped++
+		} else {
+			continue
+		}
+		for _, s := range replicas.coverage(now) {
 			t.add(s)
 		}
 	}
 	var best share
 	for _, s := range t.sum {
+		if known, bestKnown := s.services == mapped, best.services == mapped; known != bestKnown {
+			if known {
+				best = s
+			}
+			continue
+		}
 		if s.covered > best.covered+tieShare || (s.covered > best.covered-tieShare && s.version > best.version) {
 			best = s
 		}
@@ -39,6 +55,7 @@
 	for i := range t.sum {
 		if t.sum[i].version == s.version {
 			t.sum[i].covered += s.covered
+			t.sum[i].services += s.services
 			return
 		}
 	}
