Hedge trials of stragglers at once

Cause: every host tries a replica that was slow again from time to time, and each trial delayed a query by the whole wait for its hedge. Change: a trial of a replica that was slow at least twice is hedged without a wait. Choose marks such picks.

--- a/query/query_test.go
+++ b/query/query_test.go
@@ -56,6 +56,8 @@
 		s.config.Accept(config.Value{Revision: 1, Manifest: readManifest(d.Input)})
 	case "catalog":
 		s.route.Learn(readCatalogs(d.Input))
+	case "slow":
+		s.slow(t, d)
 	case "at":
 		s.now = s.start.Add(span(t, d, "time"))
 	case "begin":
@@ -80,6 +82,23 @@
 	return ""
 }
 
+// slow gives both replicas of a service good figures and one of them n slow
+// replies.
+func (s *script) slow(t *testing.T, d *datadriven.TestData) {
+	var n int
+	d.ScanArgs(t, "n", &n)
+	for _, service := range s.config.View().Value.Manifest.Services {
+		_, _ = s.route.Choose(s.config.View(), route.Want{Service: &service}, s.now, nil)
+	}
+	for range n {
+		server := text(t, d, "server")
+		s.route.Observe(shard.Result{
+			Server: server, Outcome: shard.Answered{}, Took: 200 * time.Millisecond,
+			Figures: shard.Figures{Server: server, Latency: 10 * time.Millisecond, Usable: true, Free: 1},
+		}, s.now)
+	}
+}
+
 // apply prints what a step sends, and the answer once the query has ended.
 func (s *script) apply(e effects) string {
 	var out strings.Builder
--- a/query/record.go
+++ b/query/record.go
@@ -33,8 +33,11 @@
 	needs   []*need
 	sent    time.Time
 	// place is the position in the record's open attempts.
-	place   int
-	hedge   bool
+	place int
+	hedge bool
+	// trial marks an attempt at a replica that was slow or down before. It is
+	// hedged at once.
+	trial   bool
 	overdue bool
 	hedged  bool
 }
--- a/query/retry.go
+++ b/query/retry.go
@@ -108,8 +108,8 @@
 			continue
 		}
 		left := t.route.HedgeDelay(view, a.needs[0].service, r.request.Class) - now.Sub(a.sent)
-		if left <= 0 {
-			if !a.overdue {
+		if left <= 0 || a.trial {
+			if left <= 0 && !a.overdue {
 				a.overdue = true
 				t.route.Overdue(a.server, now.Sub(a.sent), now)
 			}
--- a/route/choose.go
+++ b/route/choose.go
@@ -28,6 +28,10 @@
 	longestDown = 2 * time.Second
 )
 
+// trialWait is the wait up to which a trial is not worth a hedge of its own: one
+// slow reply of a sound replica raises the wait no further.
+const trialWait = firstWait
+
 // jitter is the relative spread that is added to costs, so that hosts with the
 // same figures do not all choose the same replica.
 const jitter = 0.2
@@ -48,11 +52,13 @@
 }
 
 // Pick is a chosen server, its place in the service and the shards it shall
-// answer.
+// answer. Trial marks a replica that is tried again although it was slow or
+// down; a hedge need not wait for it.
 type Pick struct {
 	Server string
 	Place  int
 	Shards []string
+	Trial  bool
 }
 
 // Choose selects servers for the wanted shards, the fewest and fastest first,
@@ -64,12 +70,12 @@
 	s := t.set(view, want.Service)
 	missing = want.Shards
 	for len(missing) > 0 {
-		i, held := t.best(view, s, want, missing, now)
+		i, held, trial := t.best(view, s, want, missing, now)
 		if i < 0 {
 			return picks, missing
 		}
 		s.replicas[i].Open++
-		picks = append(picks, Pick{Server: want.Service.Servers[i].Name, Place: i, Shards: held})
+		picks = append(picks, Pick{Server: want.Service.Servers[i].Name, Place: i, Shards: held, Trial: trial})
 		missing = without(missing, held)
 	}
 	return picks, nil
@@ -93,13 +99,15 @@
 // best returns the position of the replica to ask for the shards and the ones
 // that it holds, or -1. A replica that is slow, down or has old figures is
 // tried again with one sub-request when its wait is over, so that a straggler
-// that recovered is found and one that did not delays few queries.
-func (t *Table) best(view *config.View, s *set, want Want, shards []string, now time.Time) (int, []string) {
+// that recovered is found and one that did not delays few queries. Trial
+// reports such a choice.
+func (t *Table) best(view *config.View, s *set, want Want, shards []string, now time.Time) (best int, held []string, trial bool) {
 	var (
-		best, again     = -1, -1
-		held, againHeld []string
-		cost            time.Duration
+		again     = -1
+		againHeld []string
+		cost      time.Duration
 	)
+	best = -1
 	fastest := s.best()
 	for i, r := range s.replicas {
 		name := want.Service.Servers[i].Name
@@ -119,11 +127,11 @@
 		}
 	}
 	if again < 0 || again == best || want.Spare || len(want.Tried) > 0 || len(againHeld) < len(held) {
-		return best, held
+		return best, held, false
 	}
 	r := s.replicas[again]
 	r.Again = now.Add(r.Wait)
-	return again, againHeld
+	return again, againHeld, r.Late > 0 && r.Wait > trialWait
 }
 
 // doubtful reports whether what speaks against a replica may have changed: it
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -113,7 +113,11 @@
 			if !d.HasArg("keep") {
 				s.table.Done(p.Server)
 			}
-			order = appendNew(order, counts, p.Server+" "+strings.Join(p.Shards, "+"))
+			key := p.Server + " " + strings.Join(p.Shards, "+")
+			if p.Trial {
+				key += " trial"
+			}
+			order = appendNew(order, counts, key)
 		}
 		if len(missing) > 0 {
 			order = appendNew(order, counts, "missing "+strings.Join(missing, "+"))
