Add the trial of planned stops

Cause: no trial covered planned stops, and the event restart closed a host without the announcement and the handover of a planned stop.

--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -133,11 +133,7 @@
 	case Resume:
 		f.network.resume(f.hosts[a.Host].Name)
 	case Restart:
-		f.leave(a.Host)
-		f.changes.Go(func() {
-			_ = f.cores[a.Host].Close()
-			f.start(a.Host)
-		})
+		f.changes.Go(func() { f.restart(a.Host) })
 	case Cut:
 		f.network.setCut(a.Zone, true)
 	case Heal:
--- a/trial/server.go
+++ b/trial/server.go
@@ -187,7 +187,7 @@
 		return shard.Held{}, nil, &shard.Refused{Reason: fault.ReasonVersion}
 	}
 	s.counts.Runs++
-	s.judge(s.overRate(now), now)
+	s.judge(s.overRate(now))
 	if s.busy < s.service.Slots {
 		s.busy++
 		return s.held[i], nil, nil
@@ -198,7 +198,7 @@
 }
 
 // judge counts a request that the server cannot bear.
-func (s *Server) judge(overRate bool, now time.Time) {
+func (s *Server) judge(overRate bool) {
 	switch {
 	case s.busy >= s.service.Slots:
 		s.counts.Breaches++
--- /dev/null
+++ b/trial/stop.go
@@ -0,0 +1,28 @@
+package trial
+
+import (
+	"context"
+	"time"
+)
+
+// Times of a planned stop, those of the daemon's settings in short.
+const (
+	stopNotice = time.Second
+	stopLeave  = 5 * time.Second
+)
+
+// restart stops a host as the daemon does on a signal, and starts it anew.
+func (f *Fleet) restart(i int) {
+	f.mu.Lock()
+	core := f.cores[i]
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopNotice+stopLeave)
+	defer cancel()
+	core.Announce(ctx)
+	f.leave(i)
+	time.Sleep(stopNotice)
+	core.Drain()
+	core.Leave(ctx)
+	_ = core.Close()
+	f.start(i)
+}
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -25,6 +25,8 @@
 
 func TestTrialColdstart(t *testing.T) { runTrial(t, "coldstart") }
 
+func TestTrialStop(t *testing.T) { runTrial(t, "stop") }
+
 func TestTrialFaults(t *testing.T) { runTrial(t, "faults") }
 
 // runTrial runs a script for both deployments and both policies. Only the
