--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -43,6 +43,7 @@
 }
 
 func newFleet(manifest config.Manifest, backends *Backends, network *Network, seed uint64) *Fleet {
+	network.announced = backends.notice
 	f := &Fleet{manifest: manifest, backends: backends, network: network, platform: newPlatform(seed)}
 	for _, z := range manifest.Zones {
 		for i := range z.Hosts {
@@ -132,11 +133,7 @@
 	case Resume:
 		f.network.resume(f.hosts[a.Host].Name)
 	case Restart:
-		f.leave(a.Host)
-		f.changes.Go(func() {
-			_ = f.cores[a.Host].Close()
-			f.start(a.Host)
-		})
+		f.changes.Go(func() { f.restart(a.Host) })
 	case Cut:
 		f.network.setCut(a.Zone, true)
 	case Heal:
