--- a/dial/client.go
+++ b/dial/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -26,14 +27,28 @@
 // Client performs exchanges with backend servers. It implements
 // owner.Backend.
 type Client struct {
+	dialer DialFunc
+
 	mu     sync.Mutex
 	pools  map[string]*Pool
 	closed bool
 	probes sync.WaitGroup
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{pools: make(map[string]*Pool)} }
+func NewClient() *Client {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return NewClientOver(dialer.DialContext)
+}
+
+// NewClientOver returns a client that opens its connections with a function,
+// for tests in virtual time.
+func NewClientOver(dialer DialFunc) *Client {
+	return &Client{dialer: dialer, pools: make(map[string]*Pool)}
+}
 
 // Do sends a sub-request and returns its outcome. Refused is returned only
 // with proof that the request did not run: not a byte was written, or the
@@ -141,7 +156,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.pools[server.Server.Address]
 	if !ok {
-		p = newPool(server, &c.probes)
+		p = newPool(server, c.dialer, &c.probes)
 		p.closed = c.closed
 		c.pools[server.Server.Address] = p
 	}
--- a/dial/connection.go
+++ b/dial/connection.go
@@ -13,6 +13,7 @@
 type connection struct {
 	conn   net.Conn
 	raw    syscall.RawConn
+	quiets quieter
 	reader *bufio.Reader
 	// peek and its results are fields, so that a check allocates nothing.
 	peek  func(fd uintptr) bool
@@ -20,6 +21,10 @@
 	byte  [1]byte
 }
 
+// quieter is a connection without a socket that tells by itself whether
+// nothing has arrived on it and it is open.
+type quieter interface{ Quiet() bool }
+
 func newConnection(conn net.Conn) *connection {
 	c := &connection{conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}
 	c.peek = func(fd uintptr) bool {
@@ -27,8 +32,11 @@
 		c.quiet = err == syscall.EAGAIN
 		return true
 	}
-	if s, ok := conn.(syscall.Conn); ok {
+	switch s := conn.(type) {
+	case syscall.Conn:
 		c.raw, _ = s.SyscallConn()
+	case quieter:
+		c.quiets = s
 	}
 	return c
 }
@@ -36,6 +44,9 @@
 // stale reports whether the server closed an idle connection or sent something
 // on it unasked. Nothing was written, so another connection can be used.
 func (c *connection) stale() bool {
+	if c.quiets != nil {
+		return !c.quiets.Quiet()
+	}
 	if c.raw == nil {
 		return false
 	}
--- a/dial/main_test.go
+++ b/dial/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -33,6 +34,21 @@
 	return c
 }
 
+// inBubble runs a test in virtual time over connections in memory, so that its
+// bounds on time do not depend on the machine.
+func inBubble(t *testing.T, options fakes.ServerOptions, test func(*testing.T, *fakes.Server, config.Placed, *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		// Delayed reads of the fake end before the bubble does.
+		t.Cleanup(func() { time.Sleep(time.Second) })
+		network := &fakes.Network{}
+		options.Listener = network.Listen()
+		server, placed := startServer(t, options)
+		c := NewClientOver(network.Dial)
+		t.Cleanup(c.Close)
+		test(t, server, placed, c)
+	})
+}
+
 func testSub(id uint64, left time.Duration) shard.Sub {
 	return shard.Sub{
 		ID: id, Service: "entries", Version: 1, Shards: []string{"a"},
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -33,7 +32,7 @@
 // of owner and before that of work.
 type Pool struct {
 	address string
-	dialer  net.Dialer
+	dialer  DialFunc
 	// probes counts the probes in progress of all pools of a Client.
 	probes *sync.WaitGroup
 
@@ -52,10 +51,10 @@
 	slowest  time.Duration
 }
 
-func newPool(server config.Placed, probes *sync.WaitGroup) *Pool {
+func newPool(server config.Placed, dialer DialFunc, probes *sync.WaitGroup) *Pool {
 	return &Pool{
 		address: server.Server.Address,
-		dialer:  net.Dialer{Timeout: dialTimeout},
+		dialer:  dialer,
 		probes:  probes,
 		limit:   server.Service.Connections,
 	}
@@ -93,7 +92,7 @@
 	if !p.reserve(probe, time.Now()) {
 		return nil, errLimit
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dialer(ctx, "tcp", p.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
