--- /dev/null
+++ b/trial/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package trial
+
+// raceEnabled tells whether the race detector is on.
+const raceEnabled = true
