--- a/setup/settings.go
+++ b/setup/settings.go
@@ -50,6 +50,9 @@
 	defaultLeave  = 2 * time.Second
 )
 
+// allowedFields is shown when a file cannot be decoded.
+const allowedFields = "name, zone, caller, admin, peer, beat, platform, tokens"
+
 type wireSettings struct {
 	Name     string   `json:"name"`
 	Zone     string   `json:"zone"`
@@ -88,7 +91,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&w); err != nil {
-		return Settings{}, err
+		return Settings{}, oops.Wrapf(err, "allowed is an object with the strings %s and the object stop with the strings notice, finish, leave", allowedFields)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return Settings{}, errors.New("more than one JSON value")
