--- a/dial/bench_test.go
+++ b/dial/bench_test.go
@@ -66,3 +66,15 @@
 		}
 	})
 }
+
+// BenchmarkState is one state poll over a kept connection. The fake runs in
+// this process, so that the figures include its cost.
+func BenchmarkState(b *testing.B) {
+	_, placed := startServer(b, fakes.ServerOptions{})
+	c := startClient(b)
+	defer reportProcessor(b)()
+	for b.Loop() {
+		_, err := c.State(b.Context(), placed)
+		require.NoError(b, err)
+	}
+}
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -50,3 +51,38 @@
 	table.Own(placed, Takeover{}, epoch)
 	return table, names
 }
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkState measures the heap of the owner's records once each server has
+// a full window of latencies, and one round of state reports.
+func BenchmarkState(b *testing.B) {
+	for _, servers := range []int{110, 440, 1100, 4400} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			before := liveHeap()
+			table, names := benchTable(servers)
+			now := epoch
+			for i := range servers * 128 {
+				now = now.Add(time.Millisecond)
+				sub := testSub(uint64(i+1), names[i%servers], shard.Routine, now.Add(time.Second))
+				table.Admit(sub, now)
+				table.Check(sub, now)
+				table.Complete(sub, shard.Answered{}, 4*time.Millisecond, now)
+			}
+			held := liveHeap() - before
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				for _, name := range names {
+					table.Report(shard.Report{Server: name}, now)
+				}
+			}
+			b.ReportMetric(float64(held)/float64(servers), "held-B/server")
+		})
+	}
+}
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"hyssophub/peer/peerpb"
+	"hyssophub/shard"
+)
+
+// BenchmarkCatalogs measures the answer to one Catalog call by the number of
+// servers that the answering host owns; 7 is its share at the design size. The
+// answer covers all of an owner's servers, however many are outdated.
+func BenchmarkCatalogs(b *testing.B) {
+	for _, servers := range []int{7, 14, 55, 110} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			var catalogs []shard.Catalog
+			for i := range servers {
+				service := fmt.Sprintf("tenant-service-%04d", i)
+				shards := []string{service + ".0", service + ".1"}
+				catalogs = append(catalogs, shard.Catalog{Server: service + "-0", Service: service, Stamp: 1 << 20, Held: []shard.Held{
+					{Version: 20261203, All: shards, Shards: shards}, {Version: 20261204, All: shards, Shards: shards},
+				}})
+			}
+			var size int
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := proto.Marshal(encodeCatalogs(catalogs))
+				require.NoError(b, err)
+				var w peerpb.Catalogs
+				require.NoError(b, proto.Unmarshal(data, &w))
+				decodeCatalogs(&w)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/answer")
+		})
+	}
+}
