Read the host list each second only at watchers and after changes

Cause: each host read the host list each second, 660 of the about 2,000 reads a second that the store handles at the design size.

Change: active hosts that do not watch the store read it each 10 s and within a second of a change of owners. Watchers tell the owner of a backend server that leaves. TestStoreCalls counts the calls of cores in virtual time.

--- /dev/null
+++ b/daemon/calls_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"flag"
+	"maps"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Design size and the reads a second that the store handles.
+const (
+	designHosts = 660
+	designZones = 9
+	storeReads  = 2000
+)
+
+// Times over which store calls are counted.
+const (
+	startTime = 10 * time.Second
+	calmTime  = 20 * time.Second
+)
+
+// zone73 adds a zone of the design size, which takes most of a minute.
+var zone73 = flag.Bool("zone73", false, "count the store calls of a zone of 73 hosts too")
+
+// Guards against store calls that grow with the number of hosts: control
+// must leave half of the store's reads to others away from changes.
+func TestStoreCalls(t *testing.T) {
+	deployments := [][]int{{3}, {9}, {9, 9, 9}, {27}}
+	if *zone73 {
+		deployments = append(deployments, []int{73})
+	}
+	var reads []float64
+	for _, zones := range deployments {
+		start, calm := countCalls(t, zones)
+		rates := perSecond(calm)
+		t.Logf("hosts by zone %v: first %s %v, then calls a second %v", zones, startTime, start, rates)
+		reads = append(reads, rates["get"]+rates["watch"]+rates["hosts"])
+	}
+	perHost := max(0, (reads[3]-reads[0])/24)
+	perZone := reads[0] - 3*perHost
+	require.Less(t, designHosts*perHost+designZones*perZone, float64(storeReads)/2)
+}
+
+func perSecond(calls map[string]int) map[string]float64 {
+	rates := make(map[string]float64)
+	for kind, n := range calls {
+		rates[kind] = float64(n) / calmTime.Seconds()
+	}
+	return rates
+}
+
+// countCalls starts a deployment and returns its calls by kind during the start
+// and after it.
+func countCalls(t *testing.T, zones []int) (start, calm map[string]int) {
+	synctest.Test(t, func(t *testing.T) {
+		var hosts []string
+		for z, n := range zones {
+			hosts = append(hosts, strings.Split(strings.Repeat(string(rune('a'+z))+";", n), ";")[:n]...)
+		}
+		c := newCluster(hosts)
+		require.NoError(t, c.write())
+		for i := range c.cores {
+			c.start(i)
+		}
+		start = c.callsOver(startTime)
+		calm = c.callsOver(calmTime)
+		for i := range c.cores {
+			require.NoError(t, c.kill(i))
+		}
+		// Heartbeats and timers under way end within this time.
+		time.Sleep(time.Minute)
+	})
+	return start, calm
+}
+
+func (c *cluster) callsOver(length time.Duration) map[string]int {
+	c.mu.Lock()
+	clear(c.calls)
+	c.mu.Unlock()
+	time.Sleep(length)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.calls)
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -16,9 +16,14 @@
 const (
 	// controlWorkers exceeds the number of jobs that may wait for a silent
 	// store or peer at one time.
-	controlWorkers  = 8
-	controlQueue    = 1024
-	hostInterval    = time.Second
+	controlWorkers = 8
+	controlQueue   = 1024
+	// hostInterval is how often watchers and hosts without ownership read the
+	// host list, and the others after a change of owners.
+	hostInterval = time.Second
+	// hostCalm is how often the others read it away from changes. Each second
+	// would be 660 reads at the design size, a third of what the store handles.
+	hostCalm        = 10 * time.Second
 	catalogInterval = 200 * time.Millisecond
 	// idleWatch is how often a host that does not watch the store looks
 	// whether it should.
@@ -82,6 +87,7 @@
 		c.refreshCatalogs()
 		c.schedule(catalogInterval, j)
 	case ownJob:
+		c.moved.Store(true)
 		c.own()
 		c.publish(event.MembersChanged{Zone: c.self.Zone})
 	case fetchJob:
@@ -93,17 +99,30 @@
 	}
 }
 
+// hostsDue reports whether this host reads the host list now.
+func (c *Core) hostsDue(now time.Time) bool {
+	moved := c.moved.Swap(false)
+	return moved || c.members.Watches() || !c.members.Active() || now.Sub(c.listed) >= hostCalm
+}
+
 // refreshHosts reads the platform's host list. The own zone's leaving hosts
 // stay in it, as only their heartbeats tell when they stop.
 func (c *Core) refreshHosts(j hostsJob) {
+	if !c.hostsDue(time.Now()) {
+		c.schedule(hostInterval, hostsJob{})
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
 	list, err := c.ports.Hosts.List(ctx)
 	if err != nil {
 		c.log.Debug().Err(err).Msg("host list unavailable")
+		c.moved.Store(true)
 		c.schedule(retry(j.failures), hostsJob{failures: j.failures + 1})
 		return
 	}
+	// The random part keeps hosts that started together from reading together.
+	c.listed = time.Now().Add(-rand.N(hostCalm / 5))
 	var hosts []member.Host
 	for _, h := range list {
 		if h.Kind == store.KindEntry && (h.State == store.HostLive || h.Zone == c.self.Zone) {
@@ -111,12 +130,43 @@
 		}
 	}
 	c.members.Hint(hosts)
+	c.noteLeaving(list)
+	c.schedule(hostInterval, hostsJob{})
+}
+
+// noteLeaving stops new work for the backend servers that the host list calls
+// leaving. Their owners may read the list more seldom, so a watcher tells them;
+// an owner passes the event on to its zone.
+func (c *Core) noteLeaving(list []store.HostInfo) {
+	leaving := make(map[string]bool)
 	for _, h := range list {
-		if h.Kind == store.KindBackend && h.State == store.HostLeaving {
-			c.drained(h.Name)
+		if h.Kind != store.KindBackend || h.State != store.HostLeaving {
+			continue
+		}
+		leaving[h.Name] = true
+		c.drained(h.Name)
+		if !c.leaving[h.Name] && c.members.Watches() {
+			c.tellOwner(h.Name)
 		}
 	}
-	c.schedule(hostInterval, hostsJob{})
+	c.leaving = leaving
+}
+
+// tellOwner tells the owner of a server in the own zone that it leaves.
+func (c *Core) tellOwner(server string) {
+	placed, ok := c.config.View().Server(server)
+	if !ok || placed.Home != c.self.Zone {
+		return
+	}
+	host, ok := (directory{c}).OwnerOf(server)
+	if !ok || host == c.self.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
+	defer cancel()
+	if err := c.ports.Peers.Notify(ctx, host, c.self.Name, event.ServerDraining{Server: server}); err != nil {
+		c.log.Debug().Err(err).Str("host", host).Msg("event not passed on")
+	}
 }
 
 // refreshCatalogs asks the owners of servers whose catalog is unknown or
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -72,6 +73,12 @@
 	// the lock order.
 	owning   sync.Mutex
 	fetching gate
+	// moved asks for a read of the host list after a change of owners.
+	moved atomic.Bool
+	// listed is the time of the last read of the host list and leaving the
+	// servers that left then. Only the one hostsJob uses them.
+	listed  time.Time
+	leaving map[string]bool
 	// mu comes after owning and before all tables in the lock order.
 	mu        sync.Mutex
 	value     []byte
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +43,8 @@
 	changed chan struct{}
 	down    bool
 	starts  uint64
+	// calls counts the calls to the platform by kind.
+	calls map[string]int
 }
 
 func newCluster(zones []string) *cluster {
@@ -52,9 +56,16 @@
 		paused:  make([]chan struct{}, len(zones)),
 		entries: make(map[string]store.Entry),
 		changed: make(chan struct{}),
+		calls:   make(map[string]int),
 	}
 }
 
+func (c *cluster) count(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[kind]++
+}
+
 func hostName(i int) string { return fmt.Sprintf("h%d", i) }
 
 func (c *cluster) start(i int) {
@@ -113,12 +124,11 @@
 	time.Sleep(delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, core := range c.cores {
-		if hostName(i) == host && !c.dead[i] {
-			return core, nil
-		}
+	i, err := strconv.Atoi(strings.TrimPrefix(host, "h"))
+	if err != nil || i >= len(c.cores) || c.dead[i] {
+		return nil, errDown
 	}
-	return nil, errDown
+	return c.cores[i], nil
 }
 
 // port is the outside world as one host sees it.
@@ -145,6 +155,11 @@
 }
 
 func (p port) Get(_ context.Context, key string) (store.Entry, error) {
+	p.cluster.count("get")
+	return p.read(key)
+}
+
+func (p port) read(key string) (store.Entry, error) {
 	time.Sleep(delay)
 	if p.failing() {
 		return store.Entry{}, store.ErrUnavailable
@@ -153,6 +168,7 @@
 }
 
 func (p port) Swap(_ context.Context, key string, revision uint64, value []byte, _ store.LeaseID) (store.Entry, error) {
+	p.cluster.count("swap")
 	time.Sleep(delay)
 	c := p.cluster
 	c.mu.Lock()
@@ -171,10 +187,11 @@
 }
 
 func (p port) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	p.cluster.count("watch")
 	limit := time.NewTimer(kvhttp.DefaultWait)
 	defer limit.Stop()
 	for {
-		e, err := p.Get(ctx, key)
+		e, err := p.read(key)
 		if err != nil || e.Revision > after {
 			return e, err
 		}
@@ -195,6 +212,7 @@
 func (p port) Renew(context.Context, store.LeaseID) error                  { return store.ErrLease }
 
 func (p port) List(context.Context) ([]store.HostInfo, error) {
+	p.cluster.count("hosts")
 	if p.failing() {
 		return nil, store.ErrUnavailable
 	}
