Check that owners learn at once of servers that the host list drains

Cause: owners that do not watch the store read the host list seldom, and no test covered that a watcher tells them.

Change: a script marks the servers of such an owner as leaving.

--- a/daemon/core_test.go
+++ b/daemon/core_test.go
@@ -78,6 +78,12 @@
 	case "send":
 		_, err := link{c.cores[i]}.Submit(context.Background(), hostName(0), shard.Batch{})
 		return fmt.Sprintln(err)
+	case "drain":
+		c.mu.Lock()
+		for _, p := range c.cores[i].owned.Owned() {
+			c.leaving = append(c.leaving, p.Server.Name)
+		}
+		c.mu.Unlock()
 	case "kill":
 		require.NoError(t, c.kill(i))
 	case "start":
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -45,6 +45,8 @@
 	starts  uint64
 	// calls counts the calls to the platform by kind.
 	calls map[string]int
+	// leaving are the backend servers that the host list calls leaving.
+	leaving []string
 }
 
 func newCluster(zones []string) *cluster {
@@ -221,6 +223,11 @@
 		name := hostName(i)
 		list = append(list, store.HostInfo{Name: name, Kind: store.KindEntry, Zone: z, State: store.HostLive, Peer: name, Beat: name})
 	}
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	for _, name := range p.cluster.leaving {
+		list = append(list, store.HostInfo{Name: name, Kind: store.KindBackend, Zone: p.cluster.zones[0], State: store.HostLeaving})
+	}
 	return list, nil
 }
 
