trial: Add takeover and cutoff

Change: observers add the figures of one concern to a run. They measure the time without an owner and sub-requests of a cut off zone to other zones, and they ask the hosts of the cut off zone. A caller no longer waits for a paused host past the end of its context.

--- a/trial/network.go
+++ b/trial/network.go
@@ -36,6 +36,10 @@
 	cut      map[string]bool
 	dead     map[string]bool
 	paused   map[string]chan struct{}
+	// cutAt is when a zone was cut off, and crossed counts the sub-requests
+	// that its hosts sent to other zones later than the freshness bound.
+	cutAt   map[string]time.Time
+	crossed int
 }
 
 func newNetwork(delay time.Duration) *Network {
@@ -47,6 +51,7 @@
 		cut:      make(map[string]bool),
 		dead:     make(map[string]bool),
 		paused:   make(map[string]chan struct{}),
+		cutAt:    make(map[string]time.Time),
 	}
 }
 
@@ -86,6 +91,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[zone] = cut
+	n.cutAt[zone] = time.Now()
 }
 
 // cross carries one message from a host to a zone. A message that is dropped
@@ -121,6 +127,23 @@
 	}
 }
 
+// await waits while a host is paused, at most until ctx ends: the other end of
+// a connection does not wait longer than it wants to.
+func (n *Network) await(ctx context.Context, host string) error {
+	n.mu.Lock()
+	c := n.paused[host]
+	n.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return errCut
+	}
+}
+
 // reach returns the handler of a live host.
 func (n *Network) reach(host string) (peer.Handler, string, bool) {
 	n.mu.Lock()
@@ -186,10 +209,16 @@
 	if !ok {
 		return fault.New(fault.NotRun{}, fault.ReasonDown, "host %s is down", host)
 	}
-	p.network.awake(host)
+	if err := p.network.await(ctx, host); err != nil {
+		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
+	}
 	do(h)
-	_, own, _ := p.network.reach(p.host)
-	if err := p.network.cross(ctx, host, own); err != nil {
+	err := p.network.await(ctx, host)
+	if err == nil {
+		_, own, _ := p.network.reach(p.host)
+		err = p.network.cross(ctx, host, own)
+	}
+	if err != nil {
 		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
 	}
 	return nil
@@ -197,6 +226,8 @@
 
 // Submit implements daemon.Peers.
 func (p peers) Submit(ctx context.Context, host string, batch shard.Batch) (results []shard.Result, err error) {
+	_, zone, _ := p.network.reach(host)
+	p.network.note(p.host, zone)
 	err = p.call(ctx, host, func(h peer.Handler) { results = h.Submit(ctx, batch) })
 	return results, err
 }
--- a/trial/run.go
+++ b/trial/run.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"maps"
 	"time"
 
 	"hyssophub/config"
@@ -27,8 +28,12 @@
 	// Hosts learn the configuration and the catalogs before the first query.
 	time.Sleep(settleIn)
 	l := newLoad(script, manifest, backends, hosts)
+	observers := newObservers(l, network, hosts)
 	for _, e := range script.Events {
 		time.AfterFunc(e.At, func() {
+			for _, o := range observers {
+				o.observe(e.Action)
+			}
 			if a, ok := e.Action.(Load); ok {
 				l.apply(a)
 				return
@@ -39,8 +44,13 @@
 		})
 	}
 	l.run()
+	figures := make(map[string]float64)
+	for _, o := range observers {
+		maps.Copy(figures, o.figures())
+	}
 	hosts.Close()
 	r := l.tally.result(backends.total())
+	maps.Copy(r.Figures, figures)
 	r.Trial, r.Policy, r.Deployment = script.Name, policy, manifest.Name
 	return r
 }
--- a/trial/server.go
+++ b/trial/server.go
@@ -60,6 +60,9 @@
 	idle      map[string]int
 	silent    map[string]int
 	counts    Counts
+	// caller ran the latest request.
+	caller string
+	gap    *gap
 }
 
 // Counts are what a server saw.
@@ -102,6 +105,7 @@
 		time.Sleep(hop)
 		return *refusal
 	}
+	s.called(caller)
 	outcome := s.serve(sub, held, turn)
 	s.hangUp(caller, true)
 	time.Sleep(hop)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -25,6 +25,10 @@
 
 func TestTrialColdstart(t *testing.T) { runTrial(t, "coldstart") }
 
+func TestTrialTakeover(t *testing.T) { runTrial(t, "takeover") }
+
+func TestTrialCutoff(t *testing.T) { runTrial(t, "cutoff") }
+
 func TestTrialFaults(t *testing.T) { runTrial(t, "faults") }
 
 // runTrial runs a script for both deployments and both policies. Only the
