query: Refuse a query that no worker took up in time

Cause: when all workers waited until the deadline, the caller received an answer with a coverage of 0 of 0 and nothing missing, which is not true. Change: such a query ends with NotRun, since nothing was sent for it. Conclusion: every answer now has a plan behind it.

--- a/query/engine.go
+++ b/query/engine.go
@@ -125,6 +125,10 @@
 		e.table.expire(r, time.Now())
 	}
 	e.table.forget(r)
+	if r.runs == 0 {
+		// Without a plan, an empty coverage would say that nothing is missing.
+		return Answer{}, fault.New(fault.NotRun{}, fault.ReasonOverload, "host %s did not start the query by its deadline", e.options.Host)
+	}
 	if ratio := r.answer.Coverage.Ratio(); ratio < request.MinCoverage {
 		return r.answer, fault.New(fault.Ran{}, fault.ReasonCoverage, "coverage %.3f is below the accepted %.3f", ratio, request.MinCoverage)
 	}
--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -48,3 +48,25 @@
 		e.Close()
 	})
 }
+
+// TestNoPlanByDeadline guards against an answer with an empty coverage, which
+// lists nothing as missing, when no worker took up the query in time.
+func TestNoPlanByDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configs := config.NewTable()
+		configs.Accept(config.Value{Revision: 1, Manifest: readManifest("one x s1@a")})
+		routes := route.NewTable("a")
+		routes.Learn(readCatalogs("s1 1 x x"))
+		link := stuck{release: make(chan struct{})}
+		e := NewEngine(configs, routes, link, link, Options{Host: "h", Workers: 1, Queue: 8})
+		request := Request{ID: "q", Tenant: "t", Limit: 1, Deadline: time.Now().Add(200 * time.Millisecond)}
+		_, err := e.Run(t.Context(), request)
+		require.NoError(t, err)
+		request.Deadline = time.Now().Add(200 * time.Millisecond)
+		_, err = e.Run(t.Context(), request)
+		require.Equal(t, fault.NotRun{}, fault.VerdictOf(err))
+		require.Equal(t, fault.ReasonOverload, fault.ReasonOf(err))
+		close(link.release)
+		e.Close()
+	})
+}
