route: Keep to the own zone when not fresh, forgive a new owner's servers

Cause: in a zone that was cut off, each sub-request to another zone was refused as stale and spent a retry, so that shards of the own zone stayed missing. A server that failed under its last owner stayed avoided after the takeover. Change: a host that is not fresh chooses replicas of its own zone alone. A new owner clears what was held against the server.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -83,6 +83,7 @@
 		c.schedule(catalogInterval, j)
 	case ownJob:
 		c.own()
+		c.noteOwners()
 		c.publish(event.MembersChanged{Zone: c.self.Zone})
 	case fetchJob:
 		c.fetch(j.from)
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -50,6 +50,17 @@
 	return states
 }
 
+// noteOwners tells the entry side which host owns each server.
+func (c *Core) noteOwners() {
+	for _, s := range c.config.View().Value.Manifest.Services {
+		for _, server := range s.Servers {
+			if host, ok := (directory{c}).OwnerOf(server.Name); ok {
+				c.routes.Moved(server.Name, host)
+			}
+		}
+	}
+}
+
 // take makes the owner engine hold the given servers. Those that were taken
 // over without the store's word stay at the cold floor.
 func (c *Core) take(placed []config.Placed) {
--- a/query/plan.go
+++ b/query/plan.go
@@ -86,7 +86,13 @@
 func (t *Table) attempt(subs []shard.Sub, r *record, view *config.View, shards []string, needs []*need, now time.Time, hedge bool) []shard.Sub {
 	service := needs[0].service
 	want := route.Want{Service: service, Version: r.version, Shards: shards, Tried: triedBy(needs), Spare: hedge}
-	t.picks, _ = t.route.Choose(view, want, now, t.picks[:0])
+	var missing []string
+	t.picks, missing = t.route.Choose(view, want, now, t.picks[:0])
+	if len(missing) > 0 && t.route.Confined() {
+		for _, n := range asked(needs, missing) {
+			n.reason = fault.ReasonStale
+		}
+	}
 	if hedge && len(t.picks) > 0 && !t.route.SpendHedge(r.request.Class, len(t.picks)) {
 		for _, p := range t.picks {
 			t.route.Done(p.Server)
--- a/route/choose.go
+++ b/route/choose.go
@@ -106,6 +106,9 @@
 		if slices.Contains(want.Tried, name) || !s.usable(i, now) || (want.Spare && !r.spare(now)) {
 			continue
 		}
+		if t.confined && want.Service.Servers[i].Zone != t.zone {
+			continue
+		}
 		h := r.held(want.Version, shards)
 		if len(h) == 0 {
 			continue
--- /dev/null
+++ b/route/confine.go
@@ -0,0 +1,17 @@
+package route
+
+// Confine keeps the choice to replicas of the own zone, or ends that. A host
+// that is not fresh may send to no other zone, and each refusal of such a
+// sub-request would spend a retry.
+func (t *Table) Confine(confined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confined = confined
+}
+
+// Confined reports whether only replicas of the own zone are chosen.
+func (t *Table) Confined() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confined
+}
--- /dev/null
+++ b/route/moved.go
@@ -0,0 +1,20 @@
+package route
+
+import "time"
+
+// Moved notes the owner of a backend server. What was held against the server
+// under its last owner may have been that owner's failure, so that the server
+// is tried again at once.
+func (t *Table) Moved(server, owner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replica(server)
+	last := r.Owner
+	r.Owner = owner
+	if last == "" || last == owner {
+		return
+	}
+	r.Down, r.Late = false, 0
+	r.Again, r.Wait = time.Time{}, firstWait
+	r.set.forget()
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -52,6 +52,10 @@
 		s.table.Lost(text(t, d, "server"), shard.Version(number(t, d, "version")))
 	case "result":
 		s.table.Observe(result(t, d), s.now)
+	case "confine":
+		s.table.Confine(!d.HasArg("end"))
+	case "moved":
+		s.table.Moved(text(t, d, "server"), text(t, d, "owner"))
 	case "overdue":
 		s.table.Overdue(text(t, d, "server"), span(t, d, "age"), s.now)
 	case "snapshot":
--- a/route/table.go
+++ b/route/table.go
@@ -28,6 +28,8 @@
 	// sum is the scratch space of Snapshot.
 	sum     []share
 	budgets [shard.Classes]budgets
+	// confined keeps the choice to the own zone.
+	confined bool
 }
 
 // Replica is what the entry side knows of one backend server.
@@ -50,6 +52,8 @@
 	// Wait the time between two tries.
 	Again time.Time
 	Wait  time.Duration
+	// Owner is the host that dispatches to the server, as far as known.
+	Owner string
 	// Open counts this host's sub-requests in progress.
 	Open int
 
