--- a/trial/backend.go
+++ b/trial/backend.go
@@ -211,6 +211,11 @@
 	if err := p.network.cross(ctx, p.host, s.zone); err != nil {
 		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}
 	}
+	// A connection takes no write after the deadline that was set on it. A
+	// paused host sends what it decided earlier only if time is left.
+	if !time.Now().Before(sub.Deadline) {
+		return shard.Refused{Reason: fault.ReasonConnection}
+	}
 	outcome := s.Do(ctx, p.host, sub)
 	if err := p.network.cross(ctx, p.host, s.zone); err != nil {
 		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -116,9 +116,13 @@
 	for !f.live[i] {
 		i = (i + 1) % len(f.cores)
 	}
-	core := f.cores[i]
+	core, name := f.cores[i], f.hosts[i].Name
 	f.mu.Unlock()
-	return core.Run(ctx, request)
+	answer, err := core.Run(ctx, request)
+	if cut := f.network.await(ctx, name); cut != nil {
+		return query.Answer{}, cut
+	}
+	return answer, err
 }
 
 // Apply implements Policy.
--- a/trial/network.go
+++ b/trial/network.go
@@ -117,6 +117,14 @@
 	return nil
 }
 
+// reaches reports whether a message from a zone gets to a host.
+func (n *Network) reaches(zone, host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.zones[host]
+	return !n.dead[host] && (own == zone || (!n.cut[own] && !n.cut[zone]))
+}
+
 // awake waits while a host is paused.
 func (n *Network) awake(host string) {
 	n.mu.Lock()
--- a/trial/platform.go
+++ b/trial/platform.go
@@ -78,6 +78,19 @@
 	return drawn < state.Loss, nil
 }
 
+// leave carries an answer back. An answer to a zone that was cut off since the
+// call is lost.
+func (v view) leave(ctx context.Context) error {
+	if v.network.reaches(platform, v.host) {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(giveUp):
+	}
+	return store.ErrUnavailable
+}
+
 // Get implements store.KV.
 func (v view) Get(ctx context.Context, key string) (store.Entry, error) {
 	lost, err := v.enter(ctx)
@@ -116,12 +129,12 @@
 		e, changed := p.entry(key), p.changed
 		p.mu.Unlock()
 		if e.Revision > after {
-			return e, nil
+			return e, v.leave(ctx)
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			return e, nil
+			return e, v.leave(ctx)
 		case <-ctx.Done():
 			return e, ctx.Err()
 		}
