trial: Add storeout and race

Change: offices change the configuration through config.Changer at different hosts, and their results are compared with every value that the store held. The event "office" starts them.

--- a/trial/observe.go
+++ b/trial/observe.go
@@ -15,7 +15,7 @@
 func newObservers(l *load, network *Network, policy Policy) []observer {
 	list := []observer{&crossings{network: network}}
 	if f, ok := policy.(*Fleet); ok {
-		list = append(list, &takeovers{fleet: f}, newCutoffs(l, f))
+		list = append(list, &takeovers{fleet: f}, newCutoffs(l, f), newOffices(l, f))
 	}
 	return list
 }
--- a/trial/platform.go
+++ b/trial/platform.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	entries  map[string]store.Entry
+	history  []store.Entry
 	leases   map[store.LeaseID]time.Duration
 	revision uint64
 	changed  chan struct{}
@@ -184,6 +185,7 @@
 	}
 	p.revision++
 	p.entries[key] = store.Entry{Key: key, Value: value, Revision: p.revision}
+	p.history = append(p.history, p.entries[key])
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return p.entries[key], nil
--- a/trial/script.go
+++ b/trial/script.go
@@ -114,6 +114,14 @@
 		Name string
 		Out  bool
 	}
+	// Office makes changes of the configuration through one host after the
+	// other.
+	Office struct {
+		Name    string
+		Host    int
+		Every   time.Duration
+		Changes int
+	}
 	// Load sets the rate of the tenants of a class to a multiple of the
 	// capacity of their backend servers.
 	Load struct {
@@ -138,6 +146,7 @@
 func (Store) action()   {}
 func (Zone) action()    {}
 func (Load) action()    {}
+func (Office) action()  {}
 
 // Parse reads a script: one setting, event ("at TIME ACTION key=value …") or
 // target ("target FIGURE MOST") a line, and comments after "#".
@@ -284,6 +293,13 @@
 		}
 	case "zone":
 		return Zone{Name: a.value("name", "a"), Out: a.value("out", "") != ""}
+	case "office":
+		return Office{
+			Name:    a.value("name", "office"),
+			Host:    a.host(),
+			Every:   a.duration(a.value("every", "1s")),
+			Changes: int(a.parse(a.value("changes", "1"))),
+		}
 	case "load":
 		class, ok := shard.ParseClass(a.value("class", "routine"))
 		if !ok {
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -29,6 +29,10 @@
 
 func TestTrialCutoff(t *testing.T) { runTrial(t, "cutoff") }
 
+func TestTrialStoreout(t *testing.T) { runTrial(t, "storeout") }
+
+func TestTrialRace(t *testing.T) { runTrial(t, "race") }
+
 func TestTrialFaults(t *testing.T) { runTrial(t, "faults") }
 
 // runTrial runs a script for both deployments and both policies. Only the
