--- a/daemon/control.go
+++ b/daemon/control.go
@@ -89,6 +89,7 @@
 	case ownJob:
 		c.moved.Store(true)
 		c.own()
+		c.noteOwners()
 		c.publish(event.MembersChanged{Zone: c.self.Zone})
 	case fetchJob:
 		c.fetch(j.from)
--- a/trial/network.go
+++ b/trial/network.go
@@ -38,6 +38,10 @@
 	paused   map[string]chan struct{}
 	// announced is called with each event that a host passes on.
 	announced func(event.Event)
+	// cutAt is when a zone was cut off, and crossed counts the sub-requests
+	// that its hosts sent to other zones later than the freshness bound.
+	cutAt   map[string]time.Time
+	crossed int
 }
 
 func newNetwork(delay time.Duration) *Network {
@@ -49,6 +53,7 @@
 		cut:      make(map[string]bool),
 		dead:     make(map[string]bool),
 		paused:   make(map[string]chan struct{}),
+		cutAt:    make(map[string]time.Time),
 	}
 }
 
@@ -88,6 +93,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[zone] = cut
+	n.cutAt[zone] = time.Now()
 }
 
 // cross carries one message from a host to a zone. A message that is dropped
@@ -113,6 +119,14 @@
 	return nil
 }
 
+// reaches reports whether a message from a zone gets to a host.
+func (n *Network) reaches(zone, host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.zones[host]
+	return !n.dead[host] && (own == zone || (!n.cut[own] && !n.cut[zone]))
+}
+
 // awake waits while a host is paused.
 func (n *Network) awake(host string) {
 	n.mu.Lock()
@@ -123,6 +137,23 @@
 	}
 }
 
+// await waits while a host is paused, at most until ctx ends: the other end of
+// a connection does not wait longer than it wants to.
+func (n *Network) await(ctx context.Context, host string) error {
+	n.mu.Lock()
+	c := n.paused[host]
+	n.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return errCut
+	}
+}
+
 // reach returns the handler of a live host.
 func (n *Network) reach(host string) (peer.Handler, string, bool) {
 	n.mu.Lock()
@@ -188,10 +219,16 @@
 	if !ok {
 		return fault.New(fault.NotRun{}, fault.ReasonDown, "host %s is down", host)
 	}
-	p.network.awake(host)
+	if err := p.network.await(ctx, host); err != nil {
+		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
+	}
 	do(h)
-	_, own, _ := p.network.reach(p.host)
-	if err := p.network.cross(ctx, host, own); err != nil {
+	err := p.network.await(ctx, host)
+	if err == nil {
+		_, own, _ := p.network.reach(p.host)
+		err = p.network.cross(ctx, host, own)
+	}
+	if err != nil {
 		return fault.New(fault.MayHaveRun{}, fault.ReasonDeadline, "host %s: %w", host, err)
 	}
 	return nil
@@ -199,6 +236,8 @@
 
 // Submit implements daemon.Peers.
 func (p peers) Submit(ctx context.Context, host string, batch shard.Batch) (results []shard.Result, err error) {
+	_, zone, _ := p.network.reach(host)
+	p.network.note(p.host, zone)
 	err = p.call(ctx, host, func(h peer.Handler) { results = h.Submit(ctx, batch) })
 	return results, err
 }
--- a/trial/platform.go
+++ b/trial/platform.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	entries  map[string]store.Entry
+	history  []store.Entry
 	leases   map[store.LeaseID]time.Duration
 	revision uint64
 	changed  chan struct{}
@@ -78,6 +79,19 @@
 	return drawn < state.Loss, nil
 }
 
+// leave carries an answer back. An answer to a zone that was cut off since the
+// call is lost.
+func (v view) leave(ctx context.Context) error {
+	if v.network.reaches(platform, v.host) {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(giveUp):
+	}
+	return store.ErrUnavailable
+}
+
 // Get implements store.KV.
 func (v view) Get(ctx context.Context, key string) (store.Entry, error) {
 	lost, err := v.enter(ctx)
@@ -116,12 +130,12 @@
 		e, changed := p.entry(key), p.changed
 		p.mu.Unlock()
 		if e.Revision > after {
-			return e, nil
+			return e, v.leave(ctx)
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			return e, nil
+			return e, v.leave(ctx)
 		case <-ctx.Done():
 			return e, ctx.Err()
 		}
@@ -171,6 +185,7 @@
 	}
 	p.revision++
 	p.entries[key] = store.Entry{Key: key, Value: value, Revision: p.revision}
+	p.history = append(p.history, p.entries[key])
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return p.entries[key], nil
