Ride out a handover of servers without losing shards

Cause: a refusal by a host that does not own a server any more made the entry side avoid that server for 2 s, took from the retry budget, and a query gave up after 8 pauses or 4 attempts, less than a handover takes. The trial's balancer also sent callers to hosts that were not ready.

--- a/query/retry.go
+++ b/query/retry.go
@@ -9,10 +9,11 @@
 )
 
 // maxAttempts bounds the attempts for one shard of a query.
-const maxAttempts = 4
+const maxAttempts = 6
 
-// maxPauses bounds how often a query waits for servers that refused.
-const maxPauses = 8
+// maxPauses bounds how often a query waits for servers that refused. A handover
+// can concern many services of a query at once, each of which waits.
+const maxPauses = 128
 
 // retryPause is the shortest wait before a server that refused is asked again.
 const retryPause = 20 * time.Millisecond
@@ -22,7 +23,10 @@
 func (t *Table) retry(r *record, a *attempt, pause time.Duration, now time.Time) effects {
 	e := effects{run: r.runs, pause: pause}
 	left, shards := open(a.needs)
-	if len(left) == 0 || !now.Before(r.request.Deadline) || !t.route.SpendRetry(r.request.Class) {
+	if len(left) == 0 || !now.Before(r.request.Deadline) {
+		return e
+	}
+	if !ofOwner(left[0].reason) && !t.route.SpendRetry(r.request.Class) {
 		return e
 	}
 	e.send = t.attempt(nil, r, t.config.View(), shards, left, now, false)
@@ -68,6 +72,18 @@
 	}
 }
 
+// ofOwner reports whether a refusal came from a host that does not own the
+// server now. Such a sub-request reached no backend server, so its retry adds
+// no load there and takes nothing from the budget.
+func ofOwner(reason fault.Reason) bool {
+	switch reason {
+	case fault.ReasonNotOwner, fault.ReasonTerm, fault.ReasonStopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // again retries needs of a run after a pause, with all replicas permitted.
 func (t *Table) again(r *record, run int, needs []*need, now time.Time) effects {
 	t.mu.Lock()
@@ -78,7 +94,7 @@
 	}
 	r.waiting--
 	left, shards := open(needs)
-	if len(left) > 0 && now.Before(r.request.Deadline) && t.route.SpendRetry(r.request.Class) {
+	if len(left) > 0 && now.Before(r.request.Deadline) && (ofOwner(left[0].reason) || t.route.SpendRetry(r.request.Class)) {
 		for _, n := range left {
 			n.tries = 0
 		}
--- a/query/table.go
+++ b/query/table.go
@@ -69,7 +69,8 @@
 	if r.finished {
 		return effects{}, nil
 	}
-	pause := retryPause
+	// The pause doubles, so that the attempts outlast a handover.
+	pause := retryPause << max(0, a.needs[0].attempts-1)
 	switch o := result.Outcome.(type) {
 	case shard.Answered:
 		r.accept(a, o)
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -113,15 +113,29 @@
 // Ask implements Policy.
 func (f *Fleet) Ask(ctx context.Context, rng *rand.Rand, request query.Request) (query.Answer, error) {
 	f.mu.Lock()
-	i := rng.IntN(len(f.cores))
-	for !f.live[i] {
-		i = (i + 1) % len(f.cores)
-	}
-	core := f.cores[i]
+	core := f.balance(rng.IntN(len(f.cores)))
 	f.mu.Unlock()
 	return core.Run(ctx, request)
 }
 
+// balance returns the first ready host from a position on, as the platform's
+// balancer does; without a ready host, the first live one. The caller holds
+// the lock.
+func (f *Fleet) balance(first int) *daemon.Core {
+	var spare *daemon.Core
+	for n := range f.cores {
+		i := (first + n) % len(f.cores)
+		switch {
+		case !f.live[i]:
+		case f.cores[i].Ready():
+			return f.cores[i]
+		case spare == nil:
+			spare = f.cores[i]
+		}
+	}
+	return spare
+}
+
 // Apply implements Policy.
 func (f *Fleet) Apply(action Action) {
 	switch a := action.(type) {
