Keep routing to a leaving host while it owns servers

Cause: entry hosts in other zones dropped a host from their view as soon as the platform listed it as leaving, although it owns its servers for the whole notice time; they asked hosts that refused. Answers of an owner that had released a server also marked the server unusable for 2 s. Ruled out: catalogs, the ramp and the retry budget (traced). Change: leaving hosts stay in the view until their zone reports them absent; figures of a released server keep it usable; a refusal by a host that is not the owner asks for a fresh host list after at least 0.3 s.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hyssophub/event"
+	"hyssophub/fault"
 	"hyssophub/member"
 	"hyssophub/shard"
 	"hyssophub/store"
@@ -19,8 +20,12 @@
 	controlWorkers = 8
 	controlQueue   = 1024
 	// hostInterval is how often watchers and hosts without ownership read the
-	// host list, and the others after a change of owners.
+	// host list, and hostSoon the least time before the others read it again
+	// after a change of owners. hostTick is how often a host looks whether a
+	// read is due.
 	hostInterval = time.Second
+	hostSoon     = 300 * time.Millisecond
+	hostTick     = 100 * time.Millisecond
 	// hostCalm is how often the others read it away from changes. Each second
 	// would be 660 reads at the design size, a third of what the store handles.
 	hostCalm        = 10 * time.Second
@@ -102,17 +107,37 @@
 
 // hostsDue reports whether this host reads the host list now.
 func (c *Core) hostsDue(now time.Time) bool {
-	moved := c.moved.Swap(false)
-	return moved || c.members.Watches() || !c.members.Active() || now.Sub(c.listed) >= hostCalm
+	age := now.Sub(c.read)
+	switch {
+	case c.moved.Load() && age >= hostSoon:
+		c.moved.Store(false)
+		return true
+	case c.members.Watches() || !c.members.Active():
+		return age >= hostInterval
+	default:
+		return now.Sub(c.listed) >= hostCalm
+	}
+}
+
+// noteRefusals asks for a read of the host list if a host refused because it
+// does not own a server: the owners of its zone have changed.
+func (c *Core) noteRefusals(results []shard.Result) {
+	for _, r := range results {
+		if refused, ok := r.Outcome.(shard.Refused); ok && refused.Reason == fault.ReasonNotOwner {
+			c.moved.Store(true)
+			return
+		}
+	}
 }
 
-// refreshHosts reads the platform's host list. The own zone's leaving hosts
-// stay in it, as only their heartbeats tell when they stop.
+// refreshHosts reads the platform's host list. Leaving hosts stay in it: they
+// own servers until their zone's heartbeats say that they do not.
 func (c *Core) refreshHosts(j hostsJob) {
 	if !c.hostsDue(time.Now()) {
-		c.schedule(hostInterval, hostsJob{})
+		c.schedule(hostTick, hostsJob{})
 		return
 	}
+	c.read = time.Now()
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
 	list, err := c.ports.Hosts.List(ctx)
@@ -126,13 +151,13 @@
 	c.listed = time.Now().Add(-rand.N(hostCalm / 5))
 	var hosts []member.Host
 	for _, h := range list {
-		if h.Kind == store.KindEntry && (h.State == store.HostLive || h.Zone == c.self.Zone) {
+		if h.Kind == store.KindEntry {
 			hosts = append(hosts, member.Host{Name: h.Name, Zone: h.Zone, Peer: h.Peer, Beat: h.Beat})
 		}
 	}
 	c.members.Hint(hosts)
 	c.noteLeaving(list)
-	c.schedule(hostInterval, hostsJob{})
+	c.schedule(hostTick, hostsJob{})
 }
 
 // noteLeaving stops new work for the backend servers that the host list calls
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -78,6 +78,9 @@
 	// the lock order.
 	owning   sync.Mutex
 	fetching gate
+	// read is when the host list was last asked for; only the one hostsJob
+	// uses it.
+	read time.Time
 	// moved asks for a read of the host list after a change of owners.
 	moved atomic.Bool
 	// listed is the time of the last read of the host list and leaving the
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -22,7 +22,9 @@
 	if h, ok := l.core.members.Host(host); ok && h.Zone != l.core.self.Zone && !l.core.config.Fresh(time.Now()) {
 		return nil, fault.New(fault.NotRun{}, fault.ReasonStale, "host %s is in another zone", host)
 	}
-	return l.core.ports.Peers.Submit(ctx, host, batch)
+	results, err := l.core.ports.Peers.Submit(ctx, host, batch)
+	l.core.noteRefusals(results)
+	return results, err
 }
 
 // courier implements owner.Courier.
--- a/owner/server.go
+++ b/owner/server.go
@@ -279,9 +279,10 @@
 		Busy:    len(s.Busy),
 		Stamp:   s.Stamp,
 	}
-	if limit := s.limit(); limit.Slots > 0 && !s.Released {
+	// A released server stays usable: its next owner serves it in a moment.
+	if limit := s.limit(); limit.Slots > 0 {
 		f.Usable = true
-		if !now.Before(s.Earliest) {
+		if !s.Released && !now.Before(s.Earliest) {
 			f.Free = s.free(shard.Routine, now)
 		}
 	}
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -33,11 +33,12 @@
 	network  *Network
 	platform *Platform
 
-	mu    sync.Mutex
-	hosts []member.Host
-	cores []*daemon.Core
-	live  []bool
-	out   []string
+	mu      sync.Mutex
+	hosts   []member.Host
+	cores   []*daemon.Core
+	live    []bool
+	leaving []bool
+	out     []string
 	// changes are the configuration writes in progress.
 	changes sync.WaitGroup
 }
@@ -53,6 +54,7 @@
 	}
 	f.cores = make([]*daemon.Core, len(f.hosts))
 	f.live = make([]bool, len(f.hosts))
+	f.leaving = make([]bool, len(f.hosts))
 	f.write()
 	for i := range f.hosts {
 		f.start(i)
@@ -101,11 +103,17 @@
 	defer f.mu.Unlock()
 	var list []store.HostInfo
 	for i, h := range f.hosts {
-		if f.live[i] {
-			list = append(list, store.HostInfo{
-				Name: h.Name, Kind: store.KindEntry, Zone: h.Zone, State: store.HostLive, Peer: h.Peer, Beat: h.Beat,
-			})
+		state := store.HostLive
+		switch {
+		case f.live[i]:
+		case f.leaving[i]:
+			state = store.HostLeaving
+		default:
+			continue
 		}
+		list = append(list, store.HostInfo{
+			Name: h.Name, Kind: store.KindEntry, Zone: h.Zone, State: state, Peer: h.Peer, Beat: h.Beat,
+		})
 	}
 	f.platform.list(list)
 }
@@ -141,7 +149,7 @@
 	switch a := action.(type) {
 	case Kill:
 		f.network.kill(f.hosts[a.Host].Name)
-		f.leave(a.Host)
+		f.leave(a.Host, false)
 	case Pause:
 		f.network.pause(f.hosts[a.Host].Name)
 	case Resume:
@@ -163,10 +171,11 @@
 	}
 }
 
-// leave takes a host off the balancer and the host list.
-func (f *Fleet) leave(i int) {
+// leave takes a host off the balancer. A host that stops as planned is listed
+// as leaving until it has ended; a killed one disappears from the list.
+func (f *Fleet) leave(i int, leaving bool) {
 	f.mu.Lock()
-	f.live[i] = false
+	f.live[i], f.leaving[i] = false, leaving
 	f.mu.Unlock()
 	f.publish()
 }
--- a/trial/stop.go
+++ b/trial/stop.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopNotice+stopLeave)
 	defer cancel()
 	core.Announce(ctx)
-	f.leave(i)
+	f.leave(i, true)
 	time.Sleep(stopNotice)
 	core.Drain()
 	core.Leave(ctx)
