Use one gate for queries and writes in progress

Cause: the query and write engines each had the same closing logic. Change: work.Gate admits holders until it is closed and waits for them.

--- a/once/calls.go
+++ b/once/calls.go
@@ -63,14 +63,14 @@
 	ctx, cancel := context.WithTimeout(e.ctx, settleCall)
 	answer := e.swap(ctx, r, state, revision)
 	cancel()
-	step := e.table.settled(r, answer, e.closing())
+	step := e.table.settled(r, answer, e.active.Closed())
 	e.table.answer(r, time.Now())
 	if again, ok := step.(settleNext); ok {
 		e.charge()
 		e.submit(r.request.Class, settleJob{record: r}, again.pause)
 		return
 	}
-	e.settles.Done()
+	e.settles.Leave()
 }
 
 // dispatch sends a claimed request to the owner of a replica.
--- a/once/engine.go
+++ b/once/engine.go
@@ -89,12 +89,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// active counts the callers that wait, settles the ends being recorded.
-	active  sync.WaitGroup
-	settles sync.WaitGroup
+	active  work.Gate
+	settles work.Gate
 
 	mu       sync.Mutex
-	closed   bool
-	stopped  bool
 	revision uint64
 }
 
@@ -123,10 +121,10 @@
 // not stop its request.
 func (e *Engine) Run(ctx context.Context, request Request) (Receipt, error) {
 	now := time.Now()
-	if !e.enter() {
+	if !e.active.Enter() {
 		return Receipt{}, fault.New(fault.NotRun{}, fault.ReasonStopping, "host %s is stopping", e.options.Host)
 	}
-	defer e.active.Done()
+	defer e.active.Leave()
 	if err := e.check(request, now); err != nil {
 		return Receipt{}, err
 	}
@@ -248,45 +246,12 @@
 // Close refuses new requests, waits for those in progress and for their
 // records, then stops the workers.
 func (e *Engine) Close() {
-	e.mu.Lock()
-	e.closed = true
-	e.mu.Unlock()
-	e.active.Wait()
-	e.mu.Lock()
-	e.stopped = true
-	e.mu.Unlock()
-	e.settles.Wait()
+	e.active.Close()
+	e.settles.Close()
 	e.pool.Close()
 	e.cancel()
 }
 
-func (e *Engine) enter() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.closed {
-		return false
-	}
-	e.active.Add(1)
-	return true
-}
-
-func (e *Engine) closing() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.closed
-}
-
-// hold keeps Close waiting until the end of a request is recorded.
-func (e *Engine) hold() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.stopped {
-		return false
-	}
-	e.settles.Add(1)
-	return true
-}
-
 func (e *Engine) handle(j job) {
 	switch j := j.(type) {
 	case claimJob:
@@ -318,7 +283,7 @@
 	case dispatchNext:
 		e.submit(r.request.Class, dispatchJob{record: r}, s.pause)
 	case settleNext:
-		if !e.hold() {
+		if !e.settles.Enter() {
 			e.table.answer(r, time.Now())
 			return
 		}
--- a/query/engine.go
+++ b/query/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"hyssophub/config"
@@ -74,10 +73,7 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	active sync.WaitGroup
-
-	mu     sync.Mutex
-	closed bool
+	active work.Gate
 }
 
 // NewEngine starts the workers.
@@ -103,10 +99,10 @@
 	if err := e.check(&request, now); err != nil {
 		return Answer{}, err
 	}
-	if !e.enter() {
+	if !e.active.Enter() {
 		return Answer{}, fault.New(fault.NotRun{}, fault.ReasonStopping, "host %s is stopping", e.options.Host)
 	}
-	defer e.active.Done()
+	defer e.active.Leave()
 	r := newRecord(request, now)
 	if err := e.pool.Submit(request.Class, planJob{record: r}); err != nil {
 		refusal := fault.New(fault.NotRun{}, fault.ReasonOverload, "host %s: %w", e.options.Host, err)
@@ -166,24 +162,11 @@
 // Close refuses new queries, waits for those in progress, then stops the
 // workers.
 func (e *Engine) Close() {
-	e.mu.Lock()
-	e.closed = true
-	e.mu.Unlock()
-	e.active.Wait()
+	e.active.Close()
 	e.pool.Close()
 	e.cancel()
 }
 
-func (e *Engine) enter() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.closed {
-		return false
-	}
-	e.active.Add(1)
-	return true
-}
-
 func (e *Engine) handle(j job) {
 	switch j := j.(type) {
 	case planJob:
