trial: Take a zone out and bring it back under load

Cause: service while a zone leaves and returns had no trial. Change: the scripts zoneout and zonein, with a window each, and a count of work that reaches a zone later than 2 s after its removal was accepted.

--- a/trial/observe.go
+++ b/trial/observe.go
@@ -13,7 +13,7 @@
 // the hosts' own answers apply to the product alone, as the baseline has no
 // owners.
 func newObservers(l *load, network *Network, policy Policy) []observer {
-	list := []observer{&crossings{network: network}}
+	list := []observer{&crossings{network: network}, &zoneouts{backends: l.backends}}
 	if f, ok := policy.(*Fleet); ok {
 		list = append(list, &takeovers{fleet: f}, newCutoffs(l, f), newOffices(l, f))
 	}
--- a/trial/server.go
+++ b/trial/server.go
@@ -70,6 +70,10 @@
 	// caller ran the latest request.
 	caller string
 	gap    *gap
+	// outAt is when the server's zone was taken out, and afterOut counts the
+	// requests that came too long after it.
+	outAt    time.Time
+	afterOut int
 }
 
 // Counts are what a server saw.
@@ -119,6 +123,7 @@
 		return *refusal
 	}
 	s.called(caller)
+	s.reached(time.Now())
 	outcome := s.serve(sub, held, turn)
 	s.hangUp(caller, true)
 	time.Sleep(hop)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -35,6 +35,10 @@
 
 func TestTrialRace(t *testing.T) { runTrial(t, "race") }
 
+func TestTrialZoneout(t *testing.T) { runTrial(t, "zoneout") }
+
+func TestTrialZonein(t *testing.T) { runTrial(t, "zonein") }
+
 func TestTrialFaults(t *testing.T) { runTrial(t, "faults") }
 
 // runTrial runs a script for both deployments and both policies. Only the
