--- a/trial/backend.go
+++ b/trial/backend.go
@@ -17,6 +17,7 @@
 	servers  map[string]*Server
 	order    []*Server
 	rng      *rand.Rand
+	runs     *runs
 	// maps holds the partition map of each service and version.
 	maps map[string]map[shard.Version][]string
 }
@@ -26,6 +27,7 @@
 		manifest: manifest,
 		servers:  make(map[string]*Server),
 		rng:      rand.New(rand.NewPCG(seed, 2)),
+		runs:     newRuns(seed),
 		maps:     make(map[string]map[shard.Version][]string),
 	}
 	for i := range manifest.Services {
@@ -33,6 +35,7 @@
 		b.maps[service.Name] = map[shard.Version][]string{1: service.Shards}
 		for _, server := range service.Servers {
 			s := newServer(service, server, base, seed+uint64(len(b.order)))
+			s.runs = b.runs
 			b.servers[server.Name] = s
 			b.order = append(b.order, s)
 		}
--- a/trial/observe.go
+++ b/trial/observe.go
@@ -1,5 +1,7 @@
 package trial
 
+import "hyssophub/fault"
+
 // observer adds the figures of one concern to a run. The interface has an
 // implementation for each of ownership, cut off zones and writes.
 type observer interface {
@@ -15,7 +17,8 @@
 func newObservers(l *load, network *Network, policy Policy) []observer {
 	list := []observer{&crossings{network: network}, &zoneouts{backends: l.backends}}
 	if f, ok := policy.(*Fleet); ok {
-		list = append(list, &takeovers{fleet: f}, newCutoffs(l, f), newOffices(l, f))
+		list = append(list, &takeovers{fleet: f}, newCutoffs(l, f), newOffices(l, f),
+			&onces{load: l, fleet: f, runs: l.backends.runs, verdicts: make(map[string]fault.Verdict)})
 	}
 	return list
 }
--- a/trial/script.go
+++ b/trial/script.go
@@ -122,6 +122,13 @@
 		Every   time.Duration
 		Changes int
 	}
+	// Write sends requests that may not be repeated. Loss is the share of
+	// their messages to and from backend servers that are lost.
+	Write struct {
+		Every time.Duration
+		Count int
+		Loss  float64
+	}
 	// Load sets the rate of the tenants of a class to a multiple of the
 	// capacity of their backend servers.
 	Load struct {
@@ -147,6 +154,7 @@
 func (Zone) action()    {}
 func (Load) action()    {}
 func (Office) action()  {}
+func (Write) action()   {}
 
 // Parse reads a script: one setting, event ("at TIME ACTION key=value …") or
 // target ("target FIGURE MOST") a line, and comments after "#".
@@ -300,6 +308,12 @@
 			Every:   a.duration(a.value("every", "1s")),
 			Changes: int(a.parse(a.value("changes", "1"))),
 		}
+	case "write":
+		return Write{
+			Every: a.duration(a.value("every", "50ms")),
+			Count: int(a.parse(a.value("count", "1"))),
+			Loss:  a.parse(a.value("loss", "0")),
+		}
 	case "load":
 		class, ok := shard.ParseClass(a.value("class", "routine"))
 		if !ok {
--- a/trial/server.go
+++ b/trial/server.go
@@ -70,6 +70,7 @@
 	// caller ran the latest request.
 	caller string
 	gap    *gap
+	runs   *runs
 	// outAt is when the server's zone was taken out, and afterOut counts the
 	// requests that came too long after it.
 	outAt    time.Time
@@ -116,6 +117,9 @@
 		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline}
 	}
 	time.Sleep(hop)
+	if sub.Write && s.runs.lost() {
+		return shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonConnection}
+	}
 	held, turn, refusal := s.enter(sub.Version)
 	if refusal != nil {
 		s.hangUp(caller, refusal.Reason != fault.ReasonDown)
@@ -124,7 +128,13 @@
 	}
 	s.called(caller)
 	s.reached(time.Now())
+	if sub.Write {
+		s.runs.count(sub)
+	}
 	outcome := s.serve(sub, held, turn)
+	if sub.Write && s.runs.lost() {
+		outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonConnection}
+	}
 	s.hangUp(caller, true)
 	time.Sleep(hop)
 	return outcome
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -39,6 +39,8 @@
 
 func TestTrialZonein(t *testing.T) { runTrial(t, "zonein") }
 
+func TestTrialOnce(t *testing.T) { runTrial(t, "once") }
+
 func TestTrialFaults(t *testing.T) { runTrial(t, "faults") }
 
 // runTrial runs a script for both deployments and both policies. Only the
