--- a/daemon/control.go
+++ b/daemon/control.go
@@ -95,6 +95,7 @@
 		c.moved.Store(true)
 		c.own()
 		c.noteOwners()
+		c.log.member.Info().Int("members", len(c.members.Live(c.self.Zone))).Msg("members changed")
 		c.publish(event.MembersChanged{Zone: c.self.Zone})
 	case fetchJob:
 		c.fetch(j.from)
@@ -142,7 +143,7 @@
 	defer cancel()
 	list, err := c.ports.Hosts.List(ctx)
 	if err != nil {
-		c.log.Debug().Err(err).Msg("host list unavailable")
+		c.log.member.Debug().Err(err).Msg("host list unavailable")
 		c.moved.Store(true)
 		c.schedule(retry(j.failures), hostsJob{failures: j.failures + 1})
 		return
@@ -188,11 +189,7 @@
 	if !ok || host == c.self.Name {
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
-	defer cancel()
-	if err := c.ports.Peers.Notify(ctx, host, c.self.Name, event.ServerDraining{Server: server}); err != nil {
-		c.log.Debug().Err(err).Str("host", host).Msg("event not passed on")
-	}
+	c.notify(host, event.ServerDraining{Server: server})
 }
 
 // refreshCatalogs asks the owners of servers whose catalog is unknown or
@@ -224,7 +221,7 @@
 	defer cancel()
 	catalogs, err := c.ports.Peers.Catalogs(ctx, host)
 	if err != nil {
-		c.log.Debug().Err(err).Str("host", host).Msg("catalog unavailable")
+		c.log.peer.Debug().Err(err).Str("host", host).Msg("catalog unavailable")
 		return
 	}
 	c.routes.Learn(known(catalogs))
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"hyssophub/config"
 	"hyssophub/event"
 	"hyssophub/fault"
@@ -53,7 +51,7 @@
 type Core struct {
 	self  member.Host
 	ports Ports
-	log   zerolog.Logger
+	log   layers
 
 	config  *config.Table
 	members *member.Table
@@ -98,7 +96,7 @@
 	c := &Core{
 		self:    self,
 		ports:   ports,
-		log:     log.Layer(logs.LayerConfig),
+		log:     newLayers(log),
 		config:  config.NewTable(),
 		members: member.NewTable(self, member.DefaultTiming()),
 		routes:  route.NewTable(self.Zone),
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -16,7 +16,7 @@
 // publish tells the aggregates of this host of an event.
 func (c *Core) publish(e event.Event) {
 	if err := c.bus.Publish(e); err != nil {
-		c.log.Warn().Err(err).Type("event", e).Msg("event dropped")
+		c.log.owner.Warn().Err(err).Type("event", e).Msg("event dropped")
 	}
 }
 
@@ -24,7 +24,7 @@
 // zone. It does not wait, since the owner calls it while it decides.
 func (c *Core) spread(e event.Event) {
 	if err := c.control.Submit(shard.Urgent, noticeJob{event: e}); err != nil {
-		c.log.Warn().Err(err).Type("event", e).Msg("event dropped")
+		c.log.owner.Warn().Err(err).Type("event", e).Msg("event dropped")
 	}
 }
 
@@ -32,12 +32,16 @@
 func (c *Core) notice(e event.Event) {
 	c.publish(e)
 	for _, host := range c.members.Peers(time.Now()) {
-		ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
-		err := c.ports.Peers.Notify(ctx, host, c.self.Name, e)
-		cancel()
-		if err != nil {
-			c.log.Debug().Err(err).Str("host", host).Msg("event not passed on")
-		}
+		c.notify(host, e)
+	}
+}
+
+// notify passes an event on to one host.
+func (c *Core) notify(host string, e event.Event) {
+	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
+	defer cancel()
+	if err := c.ports.Peers.Notify(ctx, host, c.self.Name, e); err != nil {
+		c.log.peer.Debug().Err(err).Str("host", host).Msg("event not passed on")
 	}
 }
 
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -45,8 +45,12 @@
 			lost = append(lost, p.Server.Name)
 		}
 	}
+	before := len(c.owned.Owned())
 	states := c.owners.Release(lost)
 	c.take(placed)
+	if gained := len(placed) - (before - len(lost)); gained > 0 || len(lost) > 0 {
+		c.log.owner.Info().Int("owned", len(placed)).Int("gained", gained).Int("lost", len(lost)).Msg("ownership changed")
+	}
 	return states
 }
 
@@ -91,7 +95,7 @@
 		err := c.ports.Peers.Handover(ctx, host, c.self.Name, list)
 		cancel()
 		if err != nil {
-			c.log.Warn().Err(err).Str("host", host).Int("servers", len(list)).Msg("handover failed")
+			c.log.owner.Warn().Err(err).Str("host", host).Int("servers", len(list)).Msg("handover failed")
 		}
 	}
 }
@@ -108,7 +112,7 @@
 func (c *Core) Announce(ctx context.Context) {
 	for _, host := range c.members.Peers(time.Now()) {
 		if err := c.ports.Peers.Notify(ctx, host, c.self.Name, event.HostLeaving{Host: c.self.Name}); err != nil {
-			c.log.Debug().Err(err).Str("host", host).Msg("leaving not announced")
+			c.log.member.Debug().Err(err).Str("host", host).Msg("leaving not announced")
 		}
 	}
 }
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -82,7 +82,7 @@
 
 // Notify implements peer.Handler.
 func (h handler) Notify(from string, e event.Event) {
-	h.core.log.Debug().Str("host", from).Type("event", e).Msg("event received")
+	h.core.log.peer.Debug().Str("host", from).Type("event", e).Msg("event received")
 	if drain, ok := e.(event.ServerDraining); ok {
 		h.core.drained(drain.Server)
 	}
--- a/daemon/pulse.go
+++ b/daemon/pulse.go
@@ -61,7 +61,7 @@
 		switch a := a.(type) {
 		case member.SendBeat:
 			if err := c.ports.Beats.Send(a.To, a.Beat); err != nil {
-				c.log.Debug().Err(err).Str("host", a.To.Name).Msg("heartbeat not sent")
+				c.log.member.Debug().Err(err).Str("host", a.To.Name).Msg("heartbeat not sent")
 			}
 		case member.ReadRoster, member.SwapRoster:
 			_ = c.control.Submit(shard.Urgent, rosterJob{action: a})
@@ -101,13 +101,13 @@
 		return
 	}
 	if err != nil && !errors.Is(err, store.ErrConflict) {
-		c.log.Debug().Err(err).Msg("roster call failed")
+		c.log.member.Debug().Err(err).Msg("roster call failed")
 		c.act(c.members.StoreFailed(call, time.Now()))
 		return
 	}
 	roster, err := codec.DecodeRoster(e.Value, c.self.Zone, e.Revision)
 	if err != nil {
-		c.log.Error().Err(err).Uint64("revision", e.Revision).Msg("roster unreadable")
+		c.log.member.Error().Err(err).Uint64("revision", e.Revision).Msg("roster unreadable")
 		c.act(c.members.StoreFailed(call, time.Now()))
 		return
 	}
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -24,7 +24,7 @@
 	start := time.Now()
 	e, err := c.ports.KV.Watch(c.ctx, config.Key, revision)
 	if err != nil {
-		c.log.Debug().Err(err).Msg("configuration watch failed")
+		c.log.config.Debug().Err(err).Msg("configuration watch failed")
 		c.schedule(retry(j.failures), watchJob{failures: j.failures + 1})
 		return
 	}
@@ -51,7 +51,7 @@
 	defer cancel()
 	value, revision, err := c.ports.Peers.Fetch(ctx, from, c.Revision())
 	if err != nil {
-		c.log.Debug().Err(err).Str("host", from).Msg("configuration not fetched")
+		c.log.config.Debug().Err(err).Str("host", from).Msg("configuration not fetched")
 		return
 	}
 	if len(value) > 0 {
@@ -64,7 +64,7 @@
 func (c *Core) accept(e store.Entry) {
 	value, err := codec.DecodeValue(e.Value, e.Revision)
 	if err != nil {
-		c.log.Error().Err(err).Uint64("revision", e.Revision).Msg("configuration unreadable")
+		c.log.config.Error().Err(err).Uint64("revision", e.Revision).Msg("configuration unreadable")
 		return
 	}
 	c.mu.Lock()
@@ -77,7 +77,7 @@
 	if !accepted {
 		return
 	}
-	c.log.Info().Uint64("revision", e.Revision).Msg("configuration in force")
+	c.log.config.Info().Uint64("revision", e.Revision).Msg("configuration in force")
 	c.own()
 	c.publish(event.ConfigAccepted{Revision: e.Revision})
 }
