--- a/fault/error.go
+++ b/fault/error.go
@@ -39,6 +39,18 @@
 	ReasonConflict      Reason = "conflict"
 )
 
+// OfOwner reports whether a refusal speaks of the host that was asked and not of
+// the backend server. Such a sub-request reached no backend server, and the
+// server's next owner serves within a moment.
+func (r Reason) OfOwner() bool {
+	switch r {
+	case ReasonNotOwner, ReasonTerm, ReasonStopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // Error is a failure with a verdict. RetryAfter is zero where no time to retry
 // after is known.
 type Error struct {
--- a/query/retry.go
+++ b/query/retry.go
@@ -26,7 +26,9 @@
 	if len(left) == 0 || !now.Before(r.request.Deadline) {
 		return e
 	}
-	if !ofOwner(left[0].reason) && !t.route.SpendRetry(r.request.Class) {
+	// A retry after a refusal by a host that is not the owner adds no load on
+	// backend servers and takes nothing from the budget.
+	if !left[0].reason.OfOwner() && !t.route.SpendRetry(r.request.Class) {
 		return e
 	}
 	e.send = t.attempt(nil, r, t.config.View(), shards, left, now, false)
@@ -72,18 +74,6 @@
 	}
 }
 
-// ofOwner reports whether a refusal came from a host that does not own the
-// server now. Such a sub-request reached no backend server, so its retry adds
-// no load there and takes nothing from the budget.
-func ofOwner(reason fault.Reason) bool {
-	switch reason {
-	case fault.ReasonNotOwner, fault.ReasonTerm, fault.ReasonStopping:
-		return true
-	default:
-		return false
-	}
-}
-
 // again retries needs of a run after a pause, with all replicas permitted.
 func (t *Table) again(r *record, run int, needs []*need, now time.Time) effects {
 	t.mu.Lock()
@@ -94,7 +84,7 @@
 	}
 	r.waiting--
 	left, shards := open(needs)
-	if len(left) > 0 && now.Before(r.request.Deadline) && (ofOwner(left[0].reason) || t.route.SpendRetry(r.request.Class)) {
+	if len(left) > 0 && now.Before(r.request.Deadline) && (left[0].reason.OfOwner() || t.route.SpendRetry(r.request.Class)) {
 		for _, n := range left {
 			n.tries = 0
 		}
--- a/route/table.go
+++ b/route/table.go
@@ -132,7 +132,8 @@
 func (t *Table) Observe(result shard.Result, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ofOwner(result.Outcome) {
+	if refused, ok := result.Outcome.(shard.Refused); ok && refused.Reason.OfOwner() {
+		// The server must not be avoided for what its former owner says.
 		return
 	}
 	r := t.replica(result.Server)
@@ -148,22 +149,6 @@
 	t.judge(r, result, now)
 }
 
-// ofOwner reports whether a refusal speaks of the host that was asked and not
-// of the backend server. Its next owner serves within a moment, so that the
-// server must not be avoided for it.
-func ofOwner(outcome shard.Outcome) bool {
-	refused, ok := outcome.(shard.Refused)
-	if !ok {
-		return false
-	}
-	switch refused.Reason {
-	case fault.ReasonNotOwner, fault.ReasonTerm, fault.ReasonStopping:
-		return true
-	default:
-		return false
-	}
-}
-
 // failed reports whether a result speaks against sending more to its server.
 // A result without figures comes from a daemon that could not be reached.
 func failed(result shard.Result) bool {
