Decode strict JSON in one place and remove dead code

Cause: entry, codec and setup each had the same decoder of exactly one JSON value without unknown fields; fault.Worse and Core.Forced had no caller. Change: package strict; the callers keep their own messages. The record of a request key does not reject trailing data and stays as it is.

--- a/codec/manifest.go
+++ b/codec/manifest.go
@@ -3,14 +3,13 @@
 package codec
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"time"
 
 	"hyssophub/config"
 	"hyssophub/shard"
+	"hyssophub/strict"
 
 	"github.com/samber/oops"
 )
@@ -93,13 +92,12 @@
 }
 
 func decodeStrict(data []byte, target any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return oops.Wrapf(err, "JSON at byte %d", decoder.InputOffset())
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+	offset, err := strict.Decode(data, target)
+	switch {
+	case errors.Is(err, strict.ErrTrailing):
 		return oops.Errorf("JSON has more than one value")
+	case err != nil:
+		return oops.Wrapf(err, "JSON at byte %d", offset)
 	}
 	return nil
 }
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -100,14 +100,6 @@
 	}
 }
 
-// Forced reports whether this host owns a server only because its last owner
-// is silent while the store does not answer. Such servers stay at the cold
-// floor.
-func (c *Core) Forced(server string) bool {
-	placed, ok := c.config.View().Server(server)
-	return ok && c.members.Forced(placed.Group)
-}
-
 // Announce tells the zone's other hosts that this one begins a planned stop.
 func (c *Core) Announce(ctx context.Context) {
 	for _, host := range c.members.Peers(time.Now()) {
--- a/entry/decode.go
+++ b/entry/decode.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +10,7 @@
 	"hyssophub/config"
 	"hyssophub/fault"
 	"hyssophub/shard"
+	"hyssophub/strict"
 )
 
 // maxBody is the largest request body, in bytes.
@@ -35,14 +34,9 @@
 
 // decodeStrict reads exactly one JSON value without unknown fields.
 func decodeStrict(data []byte, target any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
+	if _, err := strict.Decode(data, target); err != nil {
 		return fault.New(fault.NotRun{}, fault.ReasonBadRequest, "body: %w", err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return fault.New(fault.NotRun{}, fault.ReasonBadRequest, "body: more than one JSON value")
-	}
 	return nil
 }
 
--- a/fault/verdict.go
+++ b/fault/verdict.go
@@ -45,19 +45,3 @@
 		return MayHaveRun{}
 	}
 }
-
-// Worse returns the verdict that a caller must assume when both a and b
-// describe attempts of the same request.
-func Worse(a, b Verdict) Verdict {
-	switch a.(type) {
-	case Ran:
-		return a
-	case NotRun:
-		return b
-	case MayHaveRun:
-		if _, ok := b.(Ran); ok {
-			return b
-		}
-	}
-	return a
-}
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -2,16 +2,15 @@
 package setup
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"strconv"
 	"time"
 
 	"github.com/samber/oops"
+
+	"hyssophub/strict"
 )
 
 // Settings are the settings of one entry host.
@@ -88,14 +87,12 @@
 // Decode reads and checks settings. Unknown fields are errors.
 func Decode(data []byte) (Settings, error) {
 	var w wireSettings
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&w); err != nil {
+	switch _, err := strict.Decode(data, &w); {
+	case errors.Is(err, strict.ErrTrailing):
+		return Settings{}, err
+	case err != nil:
 		return Settings{}, oops.Wrapf(err, "allowed is an object with the strings %s and the object stop with the strings notice, finish, leave", allowedFields)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return Settings{}, errors.New("more than one JSON value")
-	}
 	settings := Settings{
 		Name:     w.Name,
 		Zone:     w.Zone,
