Tell slow servers from paused ones, and leave zones that serve a part badly

A moving average learned a slow server only after a series of late parts on each host. Two overdue exchanges whose starts lie further apart than a pause lasts now show it at once; an answer after an exchange's start shows that the server is not stalled; towards the end of a pause the paused server is asked rather than a slow one. Parts are delegated only to zones whose best instance is not several times slower than the best one anywhere: collectors there sent them on to other zones.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -77,7 +77,7 @@
 		if limit := t.share(rule); limit > 0 && len(s.begun) >= limit {
 			continue
 		}
-		if cost := t.cost(s, now); cost < bestCost {
+		if cost := t.cost(s, t.zone, now); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -107,18 +107,24 @@
 	return true
 }
 
-func (t *Table) cost(s *server, now time.Time) float64 {
+// cost weighs an instance for a request of a host in an availability zone.
+func (t *Table) cost(s *server, zone string, now time.Time) float64 {
 	cost := s.expected(now).Seconds()
-	if s.Zone != t.zone {
+	if s.Zone != zone {
 		cost = cost*crossZone + crossZoneTime
 	}
 	cost *= 1 + greyCost*s.grey
-	if t.cut[s.Zone] || s.isStalled(now) || now.Before(s.retry) || now.Before(s.shedUntil) {
+	if t.isDoubtful(s, now) {
 		cost += lastResort
 	}
 	return cost
 }
 
+// isDoubtful reports whether an instance is not expected to answer at all.
+func (t *Table) isDoubtful(s *server, now time.Time) bool {
+	return t.cut[s.Zone] || s.isHung(now) || now.Before(s.retry) || now.Before(s.shedUntil)
+}
+
 // spendCold spaces the requests to a cold instance: the hosts together stay
 // at the rate that it bears.
 func (t *Table) spendCold(rule *rules.Service, s *server, now time.Time) {
@@ -163,20 +169,42 @@
 // Zone returns the availability zone of the host.
 func (t *Table) Zone() string { return t.zone }
 
-// Zones returns the availability zones with instances of a service that new
-// work may go to, in no particular order, without those that are cut off.
+// slowZone is by how many times the best instance of an availability zone may
+// be worse than the best one anywhere, so that the zone still counts as one that
+// serves. Ordinary differences between servers and their queues stay below it.
+const slowZone = 3.0
+
+// Zones returns the availability zones that serve a service well: they have
+// instances that new work may go to, none of them is cut off, and their best
+// instance is not several times slower than the best one anywhere. They are in
+// no particular order.
 func (t *Table) Zones(scope Scope, service string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rule, _ := scope.View.Service(service)
 	var (
 		zones   []string
+		costs   []float64
 		refusal Refusal
+		lowest  = math.Inf(1)
 	)
 	for _, s := range t.services[service] {
-		if !t.cut[s.Zone] && t.admits(scope, rule, s, nil, now, &refusal) && !slices.Contains(zones, s.Zone) {
-			zones = append(zones, s.Zone)
+		if t.cut[s.Zone] || !t.admits(scope, rule, s, nil, now, &refusal) {
+			continue
+		}
+		cost := t.cost(s, s.Zone, now)
+		lowest = min(lowest, cost)
+		if at := slices.Index(zones, s.Zone); at >= 0 {
+			costs[at] = min(costs[at], cost)
+			continue
+		}
+		zones, costs = append(zones, s.Zone), append(costs, cost)
+	}
+	well := zones[:0]
+	for i, zone := range zones {
+		if costs[i] <= slowZone*lowest {
+			well = append(well, zone)
 		}
 	}
-	return zones
+	return well
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -56,6 +57,10 @@
 		s.rules.SetOut(text(t, d, "zone"), !d.HasArg("in"))
 	case "choose":
 		return s.choose(t, d)
+	case "zones":
+		zones := s.table.Zones(Scope{View: s.rules.View(), Out: s.rules.View().Out}, "one", s.now)
+		slices.Sort(zones)
+		return fmt.Sprint(zones)
 	case "observe":
 		s.observe(t, d)
 	default:
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -37,7 +37,7 @@
 	s.end(began)
 	switch o := o.(type) {
 	case Answered:
-		s.answered(o.Took, now)
+		s.answered(began, o.Took, now)
 	case Shed:
 		s.shedUntil = now.Add(shedHold)
 		s.grey += greyWeight * (1 - s.grey)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -17,6 +17,11 @@
 	// stalledUntil is how long an instance is avoided after an exchange with it
 	// was given up as overdue.
 	stalledUntil time.Time
+	// served is when the instance last answered.
+	served time.Time
+	// overdueSince is the start of the first of a series of overdue exchanges;
+	// zero if the last answer came in its usual time.
+	overdueSince time.Time
 	// failures counts the failed exchanges since the last success, and retry
 	// is when the next one may be tried.
 	failures int
@@ -49,6 +54,12 @@
 	// time that ordinary variation does not reach.
 	stallFactor = 3
 	stallMin    = 20 * time.Millisecond
+	// slowSpan is the time between the starts of two overdue exchanges in a row
+	// from which on an instance is slow and not paused: the longest pause of 200
+	// ms and the queue that it leaves behind. Starts that lie further apart than
+	// slowSpanMax are no series.
+	slowSpan    = 400 * time.Millisecond
+	slowSpanMax = 3 * time.Second
 	// shedHold is how long an instance that shed load is avoided.
 	shedHold = 100 * time.Millisecond
 	// failHold is how long an instance is avoided after a first failure; it
@@ -63,8 +74,14 @@
 	unknownLatency = 10 * time.Millisecond
 )
 
-func (s *server) answered(took time.Duration, now time.Time) {
+func (s *server) answered(began time.Time, took time.Duration, now time.Time) {
+	if took > s.overdue(now) {
+		s.addOverdue(began, took, now)
+	} else {
+		s.overdueSince = time.Time{}
+	}
 	s.learn(took, now)
+	s.served = now
 	s.stalledUntil = time.Time{}
 	s.failures = 0
 	s.retry = time.Time{}
@@ -78,14 +95,29 @@
 // waited is a lower bound of the instance's own.
 func (s *server) abandoned(began, now time.Time) {
 	waited := now.Sub(began)
-	if waited > s.usual(now) {
-		s.learn(waited, now)
-	}
 	if waited > s.overdue(now) {
-		if until := began.Add(stallHold); until.After(s.stalledUntil) {
+		s.addOverdue(began, waited, now)
+		// An answer after the start shows that the instance serves.
+		if until := began.Add(stallHold); !s.served.After(began) && until.After(s.stalledUntil) {
 			s.stalledUntil = until
 		}
 	}
+	if waited > s.usual(now) {
+		s.learn(waited, now)
+	}
+}
+
+// addOverdue takes in an exchange that took at least the given time, which is
+// overdue. The second one after the length of a pause shows that the instance
+// is slow, and its time is believed at once.
+func (s *server) addOverdue(began time.Time, took time.Duration, now time.Time) {
+	apart := began.Sub(s.overdueSince)
+	switch {
+	case s.overdueSince.IsZero() || apart > slowSpanMax:
+		s.overdueSince = began
+	case apart > slowSpan:
+		s.latency, s.learned = max(took, s.usual(now)), now
+	}
 }
 
 func (s *server) learn(took time.Duration, now time.Time) {
@@ -132,23 +164,35 @@
 	s.grey += greyWeight * (1 - s.grey)
 }
 
-// isStalled reports whether the instance does not seem to serve at present: its
-// oldest exchange is overdue, or one was given up as such a short time ago.
-func (s *server) isStalled(now time.Time) bool {
+// pauseEnd returns when the pause ends that the instance seems to be in:
+// its oldest exchange is overdue, or one was given up as such a short time ago.
+// Zero means that it seems to serve.
+func (s *server) pauseEnd(now time.Time) time.Time {
 	if now.Before(s.stalledUntil) {
-		return true
+		return s.stalledUntil
 	}
-	return len(s.begun) > 0 && now.Sub(s.begun[0]) > s.overdue(now)
+	if len(s.begun) == 0 || now.Sub(s.begun[0]) <= s.overdue(now) {
+		return time.Time{}
+	}
+	return s.begun[0].Add(stallHold)
+}
+
+// isHung reports whether the instance does not serve for longer than a pause.
+func (s *server) isHung(now time.Time) bool {
+	end := s.pauseEnd(now)
+	return !end.IsZero() && !now.Before(end)
 }
 
 func (s *server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
-// expected estimates the time of one more exchange.
+// expected estimates the time of one more exchange, with what is left of a
+// pause.
 func (s *server) expected(now time.Time) time.Duration {
 	latency := s.usual(now)
 	if latency == 0 {
 		latency = unknownLatency
 	}
 	slots := max(1, s.Slots)
-	return latency + latency*time.Duration(len(s.begun))/time.Duration(slots)
+	pause := max(0, s.pauseEnd(now).Sub(now))
+	return pause + latency + latency*time.Duration(len(s.begun))/time.Duration(slots)
 }
