Collect remote parts in the zone that serves most of them

Zones were taken in random order, so most gathered requests made two calls to other zones, each answered with a full list of records. The widest zone first makes it one where replicas lie so.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,35 +51,64 @@
 }
 
 // divide sorts the parts by the availability zone that is to serve them: the
-// own one where it has servers, else the same one for as many parts as
-// possible.
+// own one where it has servers, then the one that serves most of the others, so
+// that few calls leave the zone. Parts that no zone serves are in none.
 func (t *Table) divide(r *record, now time.Time) (order []string, byZone map[string][]int) {
-	byZone = make(map[string][]int)
-	options := make([][]string, len(r.parts))
+	options := make(map[string][]int)
 	scope := t.scope(r.request.View)
 	for i := range r.parts {
-		options[i] = t.fleet.Zones(scope, r.parts[i].service, now)
-		for _, zone := range options[i] {
-			if !slices.Contains(order, zone) {
-				order = append(order, zone)
-			}
+		for _, zone := range t.fleet.Zones(scope, r.parts[i].service, now) {
+			options[zone] = append(options[zone], i)
 		}
 	}
-	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	if own := slices.Index(order, t.fleet.Zone()); own > 0 {
-		order[0], order[own] = order[own], order[0]
+	byZone = make(map[string][]int)
+	given := make([]bool, len(r.parts))
+	zone := t.fleet.Zone()
+	if len(options[zone]) == 0 {
+		zone = widest(options, given)
 	}
-	for i, zones := range options {
-		for _, zone := range order {
-			if slices.Contains(zones, zone) {
+	for zone != "" {
+		order = append(order, zone)
+		for _, i := range options[zone] {
+			if !given[i] {
+				given[i] = true
 				byZone[zone] = append(byZone[zone], i)
-				break
 			}
 		}
+		zone = widest(options, given)
 	}
 	return order, byZone
 }
 
+// widest returns the zone with the most parts that are not given yet, at random
+// among equals, so that no zone serves the parts of all hosts. It is empty if
+// none has any.
+func widest(options map[string][]int, given []bool) string {
+	var (
+		best []string
+		most int
+	)
+	for zone, parts := range options {
+		open := 0
+		for _, i := range parts {
+			if !given[i] {
+				open++
+			}
+		}
+		switch {
+		case open == 0 || open < most:
+		case open == most:
+			best = append(best, zone)
+		default:
+			best, most = []string{zone}, open
+		}
+	}
+	if len(best) == 0 {
+		return ""
+	}
+	return best[rand.IntN(len(best))]
+}
+
 // assign gives each group of services to its collector. Groups whose collector
 // is the own host stay with it.
 func (t *Table) assign(r *record, parts []int, helpers []gossip.Host, now time.Time) []*delegation {
