--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -11,12 +11,10 @@
 // Weights of a choice, in multiples of an instance's expected time and in
 // seconds.
 const (
-	// crossZone and crossZoneTime are the cost of leaving the own availability
-	// zone, where bytes are the dearest resource: a factor for long exchanges
-	// and a time for short ones. A server that is several times slower than one
-	// elsewhere is left although it is near.
-	crossZone     = 1.3
-	crossZoneTime = 0.012
+	// crossZone is the cost of leaving the own availability zone, as a share of
+	// the response-time objective: bytes between zones are the dearest resource,
+	// and an answer that comes sooner within the objective is worth no more.
+	crossZone = 0.3
 	// greyCost is the cost of an instance all of whose exchanges fail.
 	greyCost = 8.0
 	// lastResort is the cost of an instance that seems down, stalled or
@@ -30,6 +28,8 @@
 	View *rules.View
 	// Out holds the availability zones that are out at present.
 	Out map[string]bool
+	// Goal is the response-time objective of the request.
+	Goal time.Duration
 }
 
 // Choice is the instance that a request goes to.
@@ -77,7 +77,11 @@
 		if limit := t.share(rule); limit > 0 && len(s.begun) >= limit {
 			continue
 		}
-		if cost := t.cost(s, t.zone, now); cost < bestCost {
+		cost := t.cost(s, now)
+		if s.Zone != t.zone {
+			cost += crossZone * scope.Goal.Seconds()
+		}
+		if cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -107,13 +111,9 @@
 	return true
 }
 
-// cost weighs an instance for a request of a host in an availability zone.
-func (t *Table) cost(s *server, zone string, now time.Time) float64 {
-	cost := s.expected(now).Seconds()
-	if s.Zone != zone {
-		cost = cost*crossZone + crossZoneTime
-	}
-	cost *= 1 + greyCost*s.grey
+// cost weighs an instance without the way between availability zones.
+func (t *Table) cost(s *server, now time.Time) float64 {
+	cost := s.expected(now).Seconds() * (1 + greyCost*s.grey)
 	if t.isDoubtful(s, now) {
 		cost += lastResort
 	}
@@ -192,7 +192,7 @@
 		if t.cut[s.Zone] || !t.admits(scope, rule, s, nil, now, &refusal) {
 			continue
 		}
-		cost := t.cost(s, s.Zone, now)
+		cost := t.cost(s, now)
 		lowest = min(lowest, cost)
 		if at := slices.Index(zones, s.Zone); at >= 0 {
 			costs[at] = min(costs[at], cost)
--- a/relay/send.go
+++ b/relay/send.go
@@ -75,7 +75,9 @@
 // chosen.
 func (t *Table) send(r *record, i int, now time.Time, hedge bool, e *effects) bool {
 	p := &r.parts[i]
-	choice, refusal, ok := t.fleet.Choose(t.scope(r.request.View), p.service, p.tried, now)
+	scope := t.scope(r.request.View)
+	scope.Goal = r.request.Route.Goal
+	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried, now)
 	if !ok {
 		r.comeBack = refusal.RetryAfter
 		return false
