Start workers when they are needed, and collect the heap earlier

512 workers were started at once and woken in turn, so that each one's stack stayed in memory and was scanned at each collection. A pool now starts a worker only if none is idle.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -41,7 +41,7 @@
 	memoryShare = 0.6
 	// collectPercent lets the heap grow before it is collected. A host holds
 	// little, and processor time is scarcer than memory.
-	collectPercent = 200
+	collectPercent = 100
 	// phases is the number of places of hosts within an interval.
 	phases = 1024
 	// noticeTime is how long a stopping host goes on serving new connections:
--- a/work/pool_test.go
+++ b/work/pool_test.go
@@ -39,3 +39,29 @@
 		require.ErrorIs(t, p.Submit(shard.Urgent, "late"), ErrClosed)
 	})
 }
+
+// Guards against workers that are started although none is needed: each costs
+// memory, and time of each collection of the heap.
+func TestPoolStartsWorkersWhenNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := make(chan struct{})
+		p := NewPool(3, 10, func(block bool) {
+			if block {
+				<-gate
+			}
+		})
+		require.Zero(t, p.started)
+		for range 5 {
+			require.NoError(t, p.Submit(shard.Routine, false))
+			synctest.Wait()
+		}
+		require.Equal(t, 1, p.started)
+		for range 5 {
+			require.NoError(t, p.Submit(shard.Routine, true))
+			synctest.Wait()
+		}
+		require.Equal(t, 3, p.started)
+		close(gate)
+		p.Close()
+	})
+}
