Hedge later

Hedges now start at 2.5 times the usual latency instead of 2 and at 0.45 of the objective at most instead of 0.35.

--- a/relay/send.go
+++ b/relay/send.go
@@ -7,9 +7,9 @@
 // ordinary variation spends no budget, and from above, so that the second
 // answer still comes in time.
 const (
-	hedgeLatency  = 2.0
+	hedgeLatency  = 2.5
 	hedgeShareMin = 0.15
-	hedgeShareMax = 0.35
+	hedgeShareMax = 0.45
 )
 
 // start sends a part that no server works on.
