Refuse at once what too few reachable servers can answer

A host refused such requests only if all other zones were cut off from it. With two zones out of reach, five of twenty shards had no server, and requests that need 18 of them held their servers and clients until the deadline and ended with 504; clients' repeats came on top.

--- a/gossip/reach.go
+++ b/gossip/reach.go
@@ -72,6 +72,18 @@
 	return cut
 }
 
+// HasCutOff reports whether any availability zone is taken to be cut off.
+func (t *Table) HasCutOff(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.ways {
+		if now.Before(r.cutUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // IsIsolated reports whether all other availability zones that were ever
 // reached or missed are taken to be cut off.
 func (t *Table) IsIsolated(now time.Time) bool {
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -8,10 +8,10 @@
 )
 
 // isReachable reports whether enough services have instances outside the
-// availability zones that are cut off. The client is better served elsewhere if
-// not, and hears so before anything is sent.
+// availability zones that are cut off. The client is better served elsewhere or
+// later if not, and hears so before anything is sent.
 func (t *Table) isReachable(r *record, now time.Time) bool {
-	if !t.hosts.IsIsolated(now) {
+	if !t.hosts.HasCutOff(now) {
 		return true
 	}
 	services := make([]string, len(r.parts))
