Ask another server after one could not be reached, also past the time for an offer

A request that reached no server within a fifth of its objective is refused. A connection to a server without power takes 250 ms to fail, so requests with an objective of 600 ms were refused after the first such server, while others of the service were free. They now go to a server that seems to serve, and are refused only if there is none.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -30,6 +30,8 @@
 	Out map[string]bool
 	// Goal is the response-time objective of the request.
 	Goal time.Duration
+	// Sound leaves out instances that do not seem to serve.
+	Sound bool
 }
 
 // Choice is the instance that a request goes to.
@@ -74,6 +76,9 @@
 		if !t.admits(scope, rule, s, avoid, now, &refusal) {
 			continue
 		}
+		if scope.Sound && t.isDoubtful(s, now) {
+			continue
+		}
 		if limit := t.share(rule); limit > 0 && len(s.begun) >= limit {
 			continue
 		}
--- a/relay/send.go
+++ b/relay/send.go
@@ -13,7 +13,8 @@
 )
 
 // start sends a part that no server works on.
-func (t *Table) start(r *record, i int, now time.Time, e *effects) {
+// Only servers that seem to serve are asked if sound is set.
+func (t *Table) start(r *record, i int, sound bool, now time.Time, e *effects) {
 	p := &r.parts[i]
 	if p.isLost(r.attempts(), r.isRepeatable()) {
 		return
@@ -28,7 +29,7 @@
 		e.at(p.pause)
 		return
 	}
-	if !t.send(r, i, now, false, e) {
+	if !t.send(r, i, sound, now, e) {
 		if extra {
 			t.budget(p.service).refund(now, t.limits)
 		}
@@ -55,7 +56,7 @@
 		e.at(now.Add(pauseTime))
 		return
 	}
-	if t.send(r, i, now, true, e) {
+	if t.send(r, i, false, now, e) {
 		p.hedged = true
 		r.hedges++
 		return
@@ -73,10 +74,10 @@
 
 // send begins an exchange for a part and reports whether an instance could be
 // chosen.
-func (t *Table) send(r *record, i int, now time.Time, hedge bool, e *effects) bool {
+func (t *Table) send(r *record, i int, sound bool, now time.Time, e *effects) bool {
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
-	scope.Goal = r.request.Route.Goal
+	scope.Goal, scope.Sound = r.request.Route.Goal, sound
 	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried, now)
 	if !ok {
 		r.comeBack = refusal.RetryAfter
@@ -86,7 +87,7 @@
 		record: r,
 		part:   i,
 		began:  now,
-		hedge:  hedge,
+		hedge:  len(p.open) > 0,
 		order: Order{
 			Choice:   choice,
 			Message:  r.request.Message,
--- a/relay/table.go
+++ b/relay/table.go
@@ -26,7 +26,8 @@
 	// pauseTime is how long a part waits when no instance can take it.
 	pauseTime = 15 * time.Millisecond
 	// offerShare is the share of the response-time objective after which a
-	// request that reached no server is refused.
+	// request that reached no server is refused, unless a server that seems to
+	// serve can be asked.
 	offerShare = 0.2
 	// refuseAfter is the time after which a refused client may come back.
 	refuseAfter = 100 * time.Millisecond
@@ -169,10 +170,7 @@
 	}
 	e.next = r.end
 	offer := r.request.Arrived.Add(time.Duration(offerShare * float64(r.request.Route.Goal)))
-	if !r.collecting && r.isUnoffered() && !now.Before(offer) {
-		e.result = declined(fault.NotRun{}, fault.ReasonNoReplica, r.retryAfter())
-		return e
-	}
+	expired := !r.collecting && r.isUnoffered() && !now.Before(offer)
 	if r.gather != nil && now.Before(r.answerAt) {
 		e.at(r.answerAt)
 	}
@@ -183,12 +181,16 @@
 			continue
 		}
 		if len(p.open) == 0 {
-			t.start(r, i, now, &e)
+			t.start(r, i, expired, now, &e)
 		} else {
 			t.hedge(r, i, now, &e)
 		}
 	}
-	if !r.collecting && r.isUnoffered() {
+	switch {
+	case r.collecting || !r.isUnoffered():
+	case expired:
+		e.result = declined(fault.NotRun{}, fault.ReasonNoReplica, r.retryAfter())
+	default:
 		e.at(offer)
 	}
 	return e
