Let twins share one piece, and remove what nothing uses

Removed: the relay table's weight, which nothing read; a collector percentage equal to the runtime's default, whose comment spoke of the former value; a check of stopping that readiness already contains.

An unreadable entry now names its instance itself. The keeper took it from the last element of the key, which is the adapter's knowledge, and would have removed an instance named "config" for an unreadable configuration.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -1,13 +1,10 @@
 package cmds
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/samber/oops"
-
 	"hyssophub/daemon"
 	"hyssophub/logs"
 	"hyssophub/setup"
@@ -43,18 +40,5 @@
 		}
 		r.Reload(func() (setup.Relay, error) { return setup.ReadRelay(c.Config) })
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	stopped := make(chan error, 1)
-	go func() { stopped <- r.Stop(ctx) }()
-	for {
-		select {
-		case err := <-stopped:
-			return err
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return oops.Errorf("ended by a second signal")
-			}
-		}
-	}
+	return stop(r.Stop, signals)
 }
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -36,15 +36,24 @@
 		return err
 	}
 	<-signals
+	return stop(d.Stop, signals)
+}
+
+// stop performs a planned stop. A further signal other than SIGHUP, which asks
+// for no end, makes the process exit without waiting for it.
+func stop(planned func(context.Context) error, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan error, 1)
-	go func() { stopped <- d.Stop(ctx) }()
-	select {
-	case err := <-stopped:
-		return err
-	case <-signals:
-		// The process exits without waiting for the planned stop.
-		return oops.Errorf("ended by a second signal")
+	go func() { stopped <- planned(ctx) }()
+	for {
+		select {
+		case err := <-stopped:
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return oops.Errorf("ended by a second signal")
+			}
+		}
 	}
 }
--- a/codec/manifest.go
+++ b/codec/manifest.go
@@ -79,8 +79,7 @@
 
 // DecodeManifest reads a manifest. Unknown fields are errors.
 func DecodeManifest(data []byte) (config.Manifest, error) {
-	var repeated *strict.RepeatedError
-	if err := strict.CheckKeys(data); errors.As(err, &repeated) {
+	if err := strict.Repeated(data); err != nil {
 		return config.Manifest{}, oops.Wrapf(err, "JSON")
 	}
 	var w wireManifest
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -39,9 +39,6 @@
 	// memoryShare is the share of the process's memory limit that the runtime
 	// aims at; the rest is for the kernel's buffers.
 	memoryShare = 0.6
-	// collectPercent lets the heap grow before it is collected. A host holds
-	// little, and processor time is scarcer than memory.
-	collectPercent = 100
 	// phases is the number of places of hosts within an interval.
 	phases = 1024
 	// noticeTime is how long a stopping host goes on serving new connections:
@@ -93,7 +90,6 @@
 // NewRelay starts an entry host.
 func NewRelay(settings setup.Relay, log *logs.Logs) (*Relay, error) {
 	log = log.Of(settings.Name)
-	debug.SetGCPercent(collectPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory) * (1 << 20)))
 	}
@@ -140,7 +136,7 @@
 	if err := r.buildPeers(); err != nil {
 		return err
 	}
-	r.table = relay.NewTable(r.rules, r.fleet, r.hosts, relay.Limits(r.settings.Budget), r.settings.Weight, assumedHosts)
+	r.table = relay.NewTable(r.rules, r.fleet, r.hosts, relay.Limits(r.settings.Budget), assumedHosts)
 	r.backends = dial.NewClient()
 	r.engine = relay.NewEngine(r.rules, r.table, platform.NewBackend(r.backends), r.peers.client, relay.Options{
 		Host:    r.settings.Name,
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -21,7 +21,7 @@
 
 // IsStopping implements platform.Server. A host that is cut off sends its
 // clients away as well, because an open connection stays with its host.
-func (s server) IsStopping() bool { return s.stopping.Load() || !s.Ready() }
+func (s server) IsStopping() bool { return !s.Ready() }
 
 // Serve implements platform.Server.
 func (s server) Serve(r *http.Request, request relay.Request) relay.Result {
@@ -37,13 +37,6 @@
 		Uint64("version", s.version()).Msg("request rejected")
 }
 
-func (s server) version() uint64 {
-	if view := s.rules.View(); view != nil {
-		return view.Set.Version
-	}
-	return 0
-}
-
 // record counts a request and writes one line for it. Whole answers are logged
 // at debug level only, so that the volume stays bounded under load.
 func (s server) record(request relay.Request, result relay.Result, report relay.Report, took time.Duration) {
@@ -109,7 +102,8 @@
 	now := time.Now()
 	self := r.hosts.Self()
 	live, _ := r.hosts.Counts(now)
-	t := stats.Tier{
+	return stats.Tier{
+		Version:  r.version(),
 		Revision: self.Revision,
 		Watching: self.Watching,
 		Ready:    r.Ready(),
@@ -118,8 +112,12 @@
 		CutOff:   len(r.hosts.CutOff(now)),
 		Dropped:  r.dropped(),
 	}
+}
+
+// version returns that of the rules in force, or zero before there are any.
+func (r *Relay) version() uint64 {
 	if view := r.rules.View(); view != nil {
-		t.Version = view.Set.Version
+		return view.Set.Version
 	}
-	return t
+	return 0
 }
--- a/dial/client.go
+++ b/dial/client.go
@@ -123,19 +123,28 @@
 // Retain closes the connections to all but the given servers. Exchanges in
 // progress end as usual.
 func (c *Client) Retain(placed []config.Placed) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	keep := make(map[string]*config.Service, len(placed))
+	services := make(map[string]*config.Service, len(placed))
 	for _, p := range placed {
-		keep[p.Server.Address] = p.Service
+		services[p.Server.Address] = p.Service
 	}
-	for address, p := range c.pools {
-		if service, ok := keep[address]; ok {
+	c.retain(func(address string, p *Pool) bool {
+		service, ok := services[address]
+		if ok {
 			p.Limit(service.Connections)
-			continue
 		}
-		p.Close()
-		delete(c.pools, address)
+		return ok
+	})
+}
+
+// retain closes and forgets the pools that are not to be kept.
+func (c *Client) retain(keep func(address string, p *Pool) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if !keep(address, p) {
+			p.Close()
+			delete(c.pools, address)
+		}
 	}
 }
 
--- a/dial/forward.go
+++ b/dial/forward.go
@@ -207,14 +207,7 @@
 // RetainAddresses closes the connections to all servers but those at the given
 // addresses. Exchanges in progress end as usual.
 func (c *Client) RetainAddresses(keep map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, p := range c.pools {
-		if !keep[address] {
-			p.Close()
-			delete(c.pools, address)
-		}
-	}
+	c.retain(func(address string, _ *Pool) bool { return keep[address] })
 }
 
 // IsLimit reports whether an exchange did not begin because this host holds
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -126,7 +126,7 @@
 		}
 		k.fleet.Remove(c.ID, c.Revision)
 	case Malformed:
-		k.fleet.Remove(serverOf(c.Key), c.Revision)
+		k.fleet.Remove(c.ID, c.Revision)
 		k.log.Warn().Str("key", c.Key).Err(c.Err).Msg("entry cannot be read and is ignored")
 	}
 }
@@ -179,13 +179,3 @@
 		k.log.Info().Int("servers", gone).Array("ids", names).Msg("registrations did not return, backend servers gone")
 	}
 }
-
-// serverOf returns the last element of a key.
-func serverOf(key string) string {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '/' {
-			return key[i+1:]
-		}
-	}
-	return key
-}
--- a/feed/change.go
+++ b/feed/change.go
@@ -29,9 +29,11 @@
 		ID       string
 		Revision uint64
 	}
-	// Malformed is an entry that cannot be read. It names no backend server.
+	// Malformed is an entry that cannot be read. ID is the instance whose
+	// registration it would be; empty for other entries.
 	Malformed struct {
 		Key      string
+		ID       string
 		Revision uint64
 		Err      error
 	}
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -144,7 +144,7 @@
 	case item.Deleted:
 		return ServerGone{ID: name, Revision: item.Revision}
 	case string(item.Value) == "bad":
-		return Malformed{Key: item.Key, Revision: item.Revision, Err: errors.New("bad")}
+		return Malformed{Key: item.Key, ID: name, Revision: item.Revision, Err: errors.New("bad")}
 	default:
 		return ServerChanged{Instance: fleet.Instance{ID: name, Service: "s", State: fleet.Ready{}, Revision: item.Revision}}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
 
+	"hyssophub/props"
 	"hyssophub/rules"
 )
 
@@ -35,26 +35,26 @@
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	if d.HasArg("at") {
-		s.now = s.start.Add(span(t, d, "at"))
+		s.now = s.start.Add(props.Span(t, d, "at"))
 	}
 	switch d.Cmd {
 	case "table":
 		s.now = s.start
-		s.table = NewTable(text(t, d, "zone"), phase(t, d))
-		s.table.SetHosts(int(number(t, d, "hosts")))
+		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d))
+		s.table.SetHosts(int(props.Number(t, d, "hosts")))
 		s.rules = rules.NewTable(0)
 		s.rules.Accept(rules.Set{Version: 1, Services: []rules.Service{{
-			Name: "one", Connections: int(number(t, d, "connections")), ColdRate: number(t, d, "cold"), ColdTime: 3 * time.Second,
+			Name: "one", Connections: int(props.Number(t, d, "connections")), ColdRate: props.Number(t, d, "cold"), ColdTime: 3 * time.Second,
 		}}})
 		s.begun = make(map[string][]time.Time)
 	case "register":
 		return s.register(t, d)
 	case "remove":
-		s.table.Remove(text(t, d, "id"), uint64(number(t, d, "revision")))
+		s.table.Remove(props.Text(t, d, "id"), uint64(props.Number(t, d, "revision")))
 	case "returned":
-		s.table.Returned(s.rules.View(), text(t, d, "zone"), s.now)
+		s.table.Returned(s.rules.View(), props.Text(t, d, "zone"), s.now)
 	case "out":
-		s.rules.SetOut(text(t, d, "zone"), !d.HasArg("in"))
+		s.rules.SetOut(props.Text(t, d, "zone"), !d.HasArg("in"))
 	case "choose":
 		return s.choose(t, d)
 	case "zones":
@@ -80,13 +80,13 @@
 			i.State = Draining{}
 		}
 		if d.HasArg("cold") {
-			i.ColdFor = span(t, d, "cold")
+			i.ColdFor = props.Span(t, d, "cold")
 		}
 		if d.HasArg("born") {
-			i.Born = int64(number(t, d, "born"))
+			i.Born = int64(props.Number(t, d, "born"))
 		}
 		if d.HasArg("revision") {
-			i.Revision = uint64(number(t, d, "revision"))
+			i.Revision = uint64(props.Number(t, d, "revision"))
 		}
 		s.table.Register(i, s.now)
 	}
@@ -97,11 +97,11 @@
 func (s *script) choose(t *testing.T, d *datadriven.TestData) string {
 	n := 1
 	if d.HasArg("n") {
-		n = int(number(t, d, "n"))
+		n = int(props.Number(t, d, "n"))
 	}
 	var avoid []string
 	if d.HasArg("avoid") {
-		avoid = strings.Split(text(t, d, "avoid"), "+")
+		avoid = strings.Split(props.Text(t, d, "avoid"), "+")
 	}
 	counts := make(map[string]int)
 	for range n {
@@ -122,15 +122,15 @@
 
 // observe ends the oldest open exchange with an instance.
 func (s *script) observe(t *testing.T, d *datadriven.TestData) {
-	id := text(t, d, "id")
+	id := props.Text(t, d, "id")
 	began := s.now
 	if open := s.begun[id]; len(open) > 0 {
 		began, s.begun[id] = open[0], open[1:]
 	}
 	var o Observation
-	switch kind := text(t, d, "kind"); kind {
+	switch kind := props.Text(t, d, "kind"); kind {
 	case "answered":
-		o = Answered{Took: span(t, d, "took")}
+		o = Answered{Took: props.Span(t, d, "took")}
 	case "shed":
 		o = Shed{}
 	case "broken":
@@ -149,27 +149,5 @@
 	if !d.HasArg("phase") {
 		return 0
 	}
-	return number(t, d, "phase")
-}
-
-func text(t *testing.T, d *datadriven.TestData, name string) string {
-	var value string
-	d.ScanArgs(t, name, &value)
-	return value
-}
-
-func span(t *testing.T, d *datadriven.TestData, name string) time.Duration {
-	value, err := time.ParseDuration(text(t, d, name))
-	if err != nil {
-		d.Fatalf(t, "%s: %v", name, err)
-	}
-	return value
-}
-
-func number(t *testing.T, d *datadriven.TestData, name string) float64 {
-	value, err := strconv.ParseFloat(text(t, d, name), 64)
-	if err != nil {
-		d.Fatalf(t, "%s: %v", name, err)
-	}
-	return value
+	return props.Number(t, d, "phase")
 }
--- a/peer/beats.go
+++ b/peer/beats.go
@@ -1,9 +1,7 @@
 package peer
 
 import (
-	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 
 	"github.com/samber/oops"
@@ -11,45 +9,30 @@
 	"hyssophub/member"
 )
 
-// maxBeat is the size of the largest datagram in bytes.
-const maxBeat = 64 << 10
-
 // Beats sends and receives heartbeats over UDP.
 type Beats struct {
-	conn    *net.UDPConn
-	zone    string
-	reading sync.WaitGroup
-	sent    atomic.Uint64
-	bytes   atomic.Uint64
+	*datagrams
+	zone  string
+	sent  atomic.Uint64
+	bytes atomic.Uint64
 }
 
 // ListenBeats returns Beats of a host in a zone at a UDP address. Receiving
 // begins with Start.
 func ListenBeats(address, zone string) (*Beats, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, oops.Wrapf(err, "heartbeat address %s", address)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	socket, err := listenDatagrams(address)
 	if err != nil {
-		return nil, oops.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
-	return &Beats{conn: conn, zone: zone}, nil
+	return &Beats{datagrams: socket, zone: zone}, nil
 }
 
 // Start calls handle for each heartbeat received until Close. Datagrams that
 // are no heartbeats are dropped.
 func (b *Beats) Start(handle func(member.Beat)) {
-	b.reading.Go(func() {
-		buffer := make([]byte, maxBeat)
-		for {
-			n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
-			if err != nil {
-				return
-			}
-			if beat, err := DecodeBeat(buffer[:n], b.zone); err == nil {
-				handle(beat)
-			}
+	b.read(func(data []byte) {
+		if beat, err := DecodeBeat(data, b.zone); err == nil {
+			handle(beat)
 		}
 	})
 }
@@ -81,10 +64,3 @@
 
 // Address returns the address that other hosts send to.
 func (b *Beats) Address() string { return b.conn.LocalAddr().String() }
-
-// Close stops receiving and waits for it.
-func (b *Beats) Close() error {
-	err := b.conn.Close()
-	b.reading.Wait()
-	return err
-}
--- a/peer/pulse.go
+++ b/peer/pulse.go
@@ -1,9 +1,7 @@
 package peer
 
 import (
-	"net"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -15,38 +13,24 @@
 
 // Pulses sends and receives the heartbeats of hosts that serve the operators'
 // routes over UDP.
-type Pulses struct {
-	conn    *net.UDPConn
-	reading sync.WaitGroup
-}
+type Pulses struct{ *datagrams }
 
 // ListenPulses returns Pulses at a UDP address. Receiving begins with Start.
 func ListenPulses(address string) (*Pulses, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, oops.Wrapf(err, "heartbeat address %s", address)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	socket, err := listenDatagrams(address)
 	if err != nil {
-		return nil, oops.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
-	return &Pulses{conn: conn}, nil
+	return &Pulses{datagrams: socket}, nil
 }
 
 // Start calls handle for each heartbeat received until Close. Datagrams that
 // are no heartbeats are dropped.
 func (p *Pulses) Start(handle func(gossip.Pulse)) {
-	p.reading.Go(func() {
-		buffer := make([]byte, maxBeat)
-		for {
-			n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
-			if err != nil {
-				return
-			}
-			var w peerpb.Pulse
-			if err := proto.Unmarshal(buffer[:n], &w); err == nil && w.GetSelf().GetName() != "" {
-				handle(decodePulse(&w, time.Now()))
-			}
+	p.read(func(data []byte) {
+		var w peerpb.Pulse
+		if err := proto.Unmarshal(data, &w); err == nil && w.GetSelf().GetName() != "" {
+			handle(decodePulse(&w, time.Now()))
 		}
 	})
 }
@@ -75,13 +59,6 @@
 	return failed
 }
 
-// Close stops receiving and waits for it.
-func (p *Pulses) Close() error {
-	err := p.conn.Close()
-	p.reading.Wait()
-	return err
-}
-
 func encodePulse(p gossip.Pulse, now time.Time) *peerpb.Pulse {
 	w := &peerpb.Pulse{Self: encodePulseHost(p.Self, now)}
 	for _, e := range p.Others {
--- a/props/props.go
+++ b/props/props.go
@@ -1,5 +1,5 @@
-// Package props fixes the seed of property tests, so that a run of the tests
-// never varies.
+// Package props helps the packages' tests: it fixes the seed of property tests,
+// so that a run never varies, and reads the arguments of scripts.
 package props
 
 import (
--- /dev/null
+++ b/props/script.go
@@ -0,0 +1,34 @@
+package props
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Text returns an argument of a script's command. The test fails without it.
+func Text(t *testing.T, d *datadriven.TestData, name string) string {
+	var value string
+	d.ScanArgs(t, name, &value)
+	return value
+}
+
+// Span returns an argument that is a time, as in "150ms".
+func Span(t *testing.T, d *datadriven.TestData, name string) time.Duration {
+	value, err := time.ParseDuration(Text(t, d, name))
+	if err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+	return value
+}
+
+// Number returns an argument that is a number.
+func Number(t *testing.T, d *datadriven.TestData, name string) float64 {
+	value, err := strconv.ParseFloat(Text(t, d, name), 64)
+	if err != nil {
+		d.Fatalf(t, "%s: %v", name, err)
+	}
+	return value
+}
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -59,7 +59,7 @@
 	case "slow":
 		s.slow(t, d)
 	case "at":
-		s.now = s.start.Add(span(t, d, "time"))
+		s.now = s.start.Add(props.Span(t, d, "time"))
 	case "begin":
 		services := s.config.View().ServicesOf("t")
 		s.record = newRecord(Request{ID: "q", Tenant: "t", Services: services, Limit: 100, Deadline: s.start.Add(500 * time.Millisecond)}, s.now)
@@ -91,7 +91,7 @@
 		_, _ = s.route.Choose(s.config.View(), route.Want{Service: &service}, s.now, nil)
 	}
 	for range n {
-		server := text(t, d, "server")
+		server := props.Text(t, d, "server")
 		s.route.Observe(shard.Result{
 			Server: server, Outcome: shard.Answered{}, Took: 200 * time.Millisecond,
 			Figures: shard.Figures{Server: server, Latency: 10 * time.Millisecond, Usable: true, Free: 1},
@@ -141,15 +141,15 @@
 		version = shard.Version(v)
 	}
 	if d.HasArg("shards") {
-		shards = strings.Split(text(t, d, "shards"), "+")
+		shards = strings.Split(props.Text(t, d, "shards"), "+")
 	}
 	switch d.Cmd {
 	case "answer":
 		r.Outcome = answered(version, shards)
 	case "refuse":
-		r.Outcome = shard.Refused{Reason: fault.Reason(text(t, d, "reason"))}
+		r.Outcome = shard.Refused{Reason: fault.Reason(props.Text(t, d, "reason"))}
 	case "fail":
-		r.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.Reason(text(t, d, "reason"))}
+		r.Outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.Reason(props.Text(t, d, "reason"))}
 	}
 	return r
 }
@@ -202,16 +202,3 @@
 	}
 	return list
 }
-
-func text(t *testing.T, d *datadriven.TestData, key string) (s string) {
-	d.ScanArgs(t, key, &s)
-	return s
-}
-
-func span(t *testing.T, d *datadriven.TestData, key string) time.Duration {
-	v, err := time.ParseDuration(text(t, d, key))
-	if err != nil {
-		d.Fatalf(t, "%v", err)
-	}
-	return v
-}
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -47,7 +47,7 @@
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	if d.HasArg("at") {
-		s.now = s.start.Add(span(t, d, "at"))
+		s.now = s.start.Add(props.Span(t, d, "at"))
 	}
 	switch d.Cmd {
 	case "host":
@@ -57,7 +57,7 @@
 	case "drain":
 		s.drain(t, d)
 	case "out":
-		s.routing.SetOut(text(t, d, "zone"), true)
+		s.routing.SetOut(props.Text(t, d, "zone"), true)
 	case "begin":
 		return s.begin(t, d)
 	case "step":
@@ -69,9 +69,9 @@
 	case "hand":
 		return s.hand()
 	case "cut":
-		s.hosts.Reached(text(t, d, "zone"), s.now.Add(-time.Minute))
+		s.hosts.Reached(props.Text(t, d, "zone"), s.now.Add(-time.Minute))
 		for range 10 {
-			s.hosts.Missed(text(t, d, "zone"), s.now)
+			s.hosts.Missed(props.Text(t, d, "zone"), s.now)
 		}
 		s.fleet.SetCutOff(s.hosts.CutOff(s.now))
 		if view := s.routing.View(); view != nil {
@@ -88,16 +88,16 @@
 // host starts new tables of a host in a zone, with others that it has heard.
 func (s *script) host(t *testing.T, d *datadriven.TestData) {
 	s.now = s.start
-	s.fleet = fleet.NewTable(text(t, d, "zone"), 0)
+	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0)
 	s.fleet.SetHosts(1)
-	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: text(t, d, "zone"), Weight: 400}, s.now)
+	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: 400}, s.now)
 	for _, line := range strings.Fields(d.Input) {
 		name, zone, _ := strings.Cut(line, "@")
 		host := gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400}
 		s.hosts.Hear(gossip.Pulse{Self: gossip.Entry{Host: host}}, s.now)
 	}
 	s.routing = rules.NewTable(0)
-	s.table = NewTable(s.routing, s.fleet, s.hosts, Limits{Ratio: 0.2, Burst: number(t, d, "burst"), Window: 10 * time.Second}, 400, 1)
+	s.table = NewTable(s.routing, s.fleet, s.hosts, Limits{Ratio: 0.2, Burst: props.Number(t, d, "burst"), Window: 10 * time.Second}, 1)
 	s.set = rules.Set{}
 }
 
@@ -113,7 +113,7 @@
 
 func (s *script) drain(t *testing.T, d *datadriven.TestData) {
 	for _, i := range s.fleet.Instances() {
-		if i.ID == text(t, d, "id") {
+		if i.ID == props.Text(t, d, "id") {
 			s.revision++
 			i.State, i.Revision = fleet.Draining{}, s.revision
 			s.fleet.Register(i, s.now)
@@ -122,20 +122,20 @@
 }
 
 func (s *script) begin(t *testing.T, d *datadriven.TestData) string {
-	services := strings.Split(text(t, d, "services"), "+")
+	services := strings.Split(props.Text(t, d, "services"), "+")
 	route := rules.Route{
 		Name:     "r",
 		Prefix:   "/",
 		Target:   rules.Single{Service: services[0]},
 		Repeat:   rules.Idempotent{},
-		Goal:     span(t, d, "goal"),
+		Goal:     props.Span(t, d, "goal"),
 		Attempts: 2,
 	}
 	if d.HasArg("once") {
 		route.Repeat = rules.AtMostOnce{}
 	}
 	if d.HasArg("top") {
-		route.Target = rules.Gather{Services: services, Top: int(number(t, d, "top")), MinShare: number(t, d, "min")}
+		route.Target = rules.Gather{Services: services, Top: int(props.Number(t, d, "top")), MinShare: props.Number(t, d, "min")}
 	}
 	s.set.Version++
 	s.set.Routes = []rules.Route{route}
@@ -147,7 +147,7 @@
 		View:     view,
 		Route:    &view.Set.Routes[0],
 		Arrived:  s.now,
-		Deadline: s.now.Add(span(t, d, "deadline")),
+		Deadline: s.now.Add(props.Span(t, d, "deadline")),
 	})
 	s.record.collecting = d.HasArg("collecting")
 	s.exchanges, s.delegations = nil, nil
@@ -155,15 +155,15 @@
 }
 
 func (s *script) take(t *testing.T, d *datadriven.TestData) string {
-	x := s.exchanges[int(number(t, d, "x"))]
+	x := s.exchanges[int(props.Number(t, d, "x"))]
 	var outcome Outcome
 	switch {
 	case d.HasArg("answered"):
-		outcome = Answered{Status: int(number(t, d, "answered")), Seal: argument(d, "seal"), Body: []byte(argument(d, "body"))}
+		outcome = Answered{Status: int(props.Number(t, d, "answered")), Seal: argument(d, "seal"), Body: []byte(argument(d, "body"))}
 	case d.HasArg("refused"):
-		outcome = Refused{Reason: fault.Reason(text(t, d, "refused"))}
+		outcome = Refused{Reason: fault.Reason(props.Text(t, d, "refused"))}
 	default:
-		outcome = Failed{Verdict: fault.ParseVerdict(text(t, d, "failed")), Reason: fault.ReasonConnection}
+		outcome = Failed{Verdict: fault.ParseVerdict(props.Text(t, d, "failed")), Reason: fault.ReasonConnection}
 	}
 	s.table.take(x, outcome, s.now)
 	return s.show(s.table.step(s.record, s.now))
@@ -172,13 +172,13 @@
 // settle ends a delegation: parts are the included indexes with their seals, ran
 // those that are missing with the number of servers that may have run them.
 func (s *script) settle(t *testing.T, d *datadriven.TestData) string {
-	x := s.delegations[int(number(t, d, "x"))]
+	x := s.delegations[int(props.Number(t, d, "x"))]
 	var (
 		c   Collected
 		err error
 	)
 	if d.HasArg("failed") {
-		err = fault.New(fault.ParseVerdict(text(t, d, "failed")), fault.ReasonConnection, "no answer")
+		err = fault.New(fault.ParseVerdict(props.Text(t, d, "failed")), fault.ReasonConnection, "no answer")
 	}
 	for _, p := range split(argument(d, "parts")) {
 		index, seal, _ := strings.Cut(p, ":")
@@ -192,7 +192,7 @@
 		c.Missing = append(c.Missing, MissingPart{Service: n, Ran: count})
 	}
 	if d.HasArg("token") {
-		c.Token = uint64(number(t, d, "token"))
+		c.Token = uint64(props.Number(t, d, "token"))
 	}
 	c.Records = []byte(argument(d, "records"))
 	s.table.settle(x, c, err, s.now)
@@ -214,12 +214,12 @@
 
 // budget earns ordinary requests of a service, then spends until the limit.
 func (s *script) budget(t *testing.T, d *datadriven.TestData) string {
-	b := s.table.budget(text(t, d, "service"))
-	for range int(number(t, d, "earn")) {
+	b := s.table.budget(props.Text(t, d, "service"))
+	for range int(props.Number(t, d, "earn")) {
 		b.earn(s.now, s.table.limits)
 	}
 	spent := 0
-	for b.spend(s.now, s.table.limits, int(number(t, d, "hosts"))) {
+	for b.spend(s.now, s.table.limits, int(props.Number(t, d, "hosts"))) {
 		spent++
 	}
 	return fmt.Sprintf("spent %d", spent)
@@ -281,25 +281,3 @@
 	}
 	return ""
 }
-
-func text(t *testing.T, d *datadriven.TestData, name string) string {
-	var value string
-	d.ScanArgs(t, name, &value)
-	return value
-}
-
-func span(t *testing.T, d *datadriven.TestData, name string) time.Duration {
-	value, err := time.ParseDuration(text(t, d, name))
-	if err != nil {
-		d.Fatalf(t, "%s: %v", name, err)
-	}
-	return value
-}
-
-func number(t *testing.T, d *datadriven.TestData, name string) float64 {
-	value, err := strconv.ParseFloat(text(t, d, name), 64)
-	if err != nil {
-		d.Fatalf(t, "%s: %v", name, err)
-	}
-	return value
-}
--- a/relay/table.go
+++ b/relay/table.go
@@ -47,8 +47,6 @@
 	fleet  *fleet.Table
 	hosts  *gossip.Table
 	limits Limits
-	// weight is the own processor share in thousandths of a core.
-	weight int
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -60,13 +58,12 @@
 }
 
 // NewTable returns a table without requests.
-func NewTable(routing *rules.Table, instances *fleet.Table, hosts *gossip.Table, limits Limits, weight, sharing int) *Table {
+func NewTable(routing *rules.Table, instances *fleet.Table, hosts *gossip.Table, limits Limits, sharing int) *Table {
 	return &Table{
 		rules:   routing,
 		fleet:   instances,
 		hosts:   hosts,
 		limits:  limits,
-		weight:  weight,
 		budgets: make(map[string]*budget),
 		sharing: sharing,
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -42,22 +42,22 @@
 		s.service(t, d)
 	case "out":
 		value := s.view.Value
-		value.Out = []string{text(t, d, "zone")}
+		value.Out = []string{props.Text(t, d, "zone")}
 		s.view = config.NewView(value)
 	case "at":
-		s.now = s.start.Add(span(t, d, "time"))
+		s.now = s.start.Add(props.Span(t, d, "time"))
 	case "catalog":
 		s.table.Learn([]shard.Catalog{catalog(t, d)})
 	case "lost":
-		s.table.Lost(text(t, d, "server"), shard.Version(number(t, d, "version")))
+		s.table.Lost(props.Text(t, d, "server"), shard.Version(number(t, d, "version")))
 	case "result":
 		s.table.Observe(result(t, d), s.now)
 	case "confine":
 		s.table.Confine(!d.HasArg("end"))
 	case "moved":
-		s.table.Moved(text(t, d, "server"), text(t, d, "owner"))
+		s.table.Moved(props.Text(t, d, "server"), props.Text(t, d, "owner"))
 	case "overdue":
-		s.table.Overdue(text(t, d, "server"), span(t, d, "age"), s.now)
+		s.table.Overdue(props.Text(t, d, "server"), props.Span(t, d, "age"), s.now)
 	case "snapshot":
 		version, ok := s.table.Snapshot(s.view, s.view.ServicesOf("t"), s.now)
 		return fmt.Sprintf("%d %t", version, ok)
@@ -78,9 +78,9 @@
 // service adds a service; the first one starts a new table.
 func (s *script) service(t *testing.T, d *datadriven.TestData) {
 	service := config.Service{
-		Name: text(t, d, "name"), Tenant: "t", Slots: 2, Shards: strings.Split(text(t, d, "shards"), "+"),
+		Name: props.Text(t, d, "name"), Tenant: "t", Slots: 2, Shards: strings.Split(props.Text(t, d, "shards"), "+"),
 	}
-	for _, placed := range strings.Split(text(t, d, "servers"), "+") {
+	for _, placed := range strings.Split(props.Text(t, d, "servers"), "+") {
 		name, zone, _ := strings.Cut(placed, "@")
 		service.Servers = append(service.Servers, config.Server{Name: name, Zone: zone})
 	}
@@ -103,11 +103,11 @@
 	want := Want{
 		Service: &s.view.Value.Manifest.Services[0],
 		Version: shard.Version(number(t, d, "version")),
-		Shards:  strings.Split(text(t, d, "shards"), "+"),
+		Shards:  strings.Split(props.Text(t, d, "shards"), "+"),
 		Spare:   d.HasArg("spare"),
 	}
 	if d.HasArg("tried") {
-		want.Tried = strings.Split(text(t, d, "tried"), "+")
+		want.Tried = strings.Split(props.Text(t, d, "tried"), "+")
 	}
 	counts := make(map[string]int)
 	var order []string
@@ -157,7 +157,7 @@
 }
 
 func catalog(t *testing.T, d *datadriven.TestData) shard.Catalog {
-	c := shard.Catalog{Server: text(t, d, "server")}
+	c := shard.Catalog{Server: props.Text(t, d, "server")}
 	for _, line := range strings.Split(d.Input, "\n") {
 		var (
 			version     shard.Version
@@ -172,13 +172,13 @@
 }
 
 func result(t *testing.T, d *datadriven.TestData) shard.Result {
-	server := text(t, d, "server")
+	server := props.Text(t, d, "server")
 	r := shard.Result{Server: server, Outcome: shard.Answered{}, Figures: shard.Figures{Server: server, Usable: true, Free: 2}}
 	if d.HasArg("took") {
-		r.Took = span(t, d, "took")
+		r.Took = props.Span(t, d, "took")
 	}
 	if d.HasArg("latency") {
-		r.Figures.Latency = span(t, d, "latency")
+		r.Figures.Latency = props.Span(t, d, "latency")
 		r.Figures.Tail = 2 * r.Figures.Latency
 	}
 	if d.HasArg("busy") {
@@ -186,26 +186,13 @@
 		r.Figures.Free = max(0, 2-r.Figures.Busy)
 	}
 	if d.HasArg("refused") {
-		r.Outcome = shard.Refused{Reason: fault.Reason(text(t, d, "refused"))}
-		r.Figures.Usable = text(t, d, "refused") != string(fault.ReasonDraining)
+		r.Outcome = shard.Refused{Reason: fault.Reason(props.Text(t, d, "refused"))}
+		r.Figures.Usable = props.Text(t, d, "refused") != string(fault.ReasonDraining)
 	}
 	return r
 }
 
-func text(t *testing.T, d *datadriven.TestData, key string) (s string) {
-	d.ScanArgs(t, key, &s)
-	return s
-}
-
 func number(t *testing.T, d *datadriven.TestData, key string) (n uint64) {
 	d.ScanArgs(t, key, &n)
 	return n
 }
-
-func span(t *testing.T, d *datadriven.TestData, key string) time.Duration {
-	v, err := time.ParseDuration(text(t, d, key))
-	if err != nil {
-		d.Fatalf(t, "%v", err)
-	}
-	return v
-}
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"hyssophub/strict"
 )
 
 // Relay are the settings of an entry host that serves the operators' routes on
@@ -97,7 +99,7 @@
 // DecodeRelay reads and checks settings. Unknown fields are ignored, because a
 // platform that writes the file may add some.
 func DecodeRelay(data []byte) (Relay, error) {
-	if err := checkKeys(data); err != nil {
+	if err := strict.Repeated(data); err != nil {
 		return Relay{}, err
 	}
 	var w wireRelay
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -86,7 +86,7 @@
 
 // Decode reads and checks settings. Unknown fields are errors.
 func Decode(data []byte) (Settings, error) {
-	if err := checkKeys(data); err != nil {
+	if err := strict.Repeated(data); err != nil {
 		return Settings{}, err
 	}
 	var w wireSettings
@@ -123,16 +123,6 @@
 	return settings, errors.Join(faults...)
 }
 
-// checkKeys refuses a file in which an object has a key twice. Other faults of
-// its JSON are found by the decoder.
-func checkKeys(data []byte) error {
-	var repeated *strict.RepeatedError
-	if err := strict.CheckKeys(data); errors.As(err, &repeated) {
-		return err
-	}
-	return nil
-}
-
 func checkName(field, value string) error {
 	if value == "" || len(value) > 64 {
 		return oops.Errorf("field %q is %q, allowed is a name of 1 to 64 characters", field, value)
--- a/strict/keys.go
+++ b/strict/keys.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 )
 
@@ -26,6 +27,16 @@
 	return checkValue(decoder)
 }
 
+// Repeated returns a *RepeatedError for the first key that an object has twice.
+// Other faults of the JSON are left to the decoder.
+func Repeated(data []byte) error {
+	var repeated *RepeatedError
+	if err := CheckKeys(data); errors.As(err, &repeated) {
+		return err
+	}
+	return nil
+}
+
 func checkValue(decoder *json.Decoder) error {
 	token, err := decoder.Token()
 	if err != nil {
