--- /dev/null
+++ b/daemon/notice.go
@@ -0,0 +1,14 @@
+package daemon
+
+import "hyssophub/flow"
+
+// logNotice logs what a backend server newly says of the requests that it takes. Its
+// answers that say the same again are not logged.
+func (r *Relay) logNotice(change flow.Change) {
+	switch c := change.(type) {
+	case flow.LimitNamed:
+		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Float64("rate", c.Rate).Msg("backend server names a rate limit")
+	case flow.LimitEnded:
+		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Msg("backend server names no rate limit any more")
+	}
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -17,6 +17,7 @@
 	"hyssophub/dial"
 	"hyssophub/feed"
 	"hyssophub/fleet"
+	"hyssophub/flow"
 	"hyssophub/gossip"
 	"hyssophub/logs"
 	"hyssophub/peer"
@@ -69,6 +70,7 @@
 
 	rules      *rules.Table
 	fleet      *fleet.Table
+	bounds     *flow.Table
 	relayTable *relay.Table
 	engine     *relay.Engine
 	backends   *dial.Client
@@ -135,7 +137,8 @@
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
-	r.fleet = fleet.NewTable(r.settings.Zone, float64(hash.Sum64()%phaseSteps)/phaseSteps)
+	r.bounds = flow.NewTable()
+	r.fleet = fleet.NewTable(r.settings.Zone, float64(hash.Sum64()%phaseSteps)/phaseSteps, r.bounds)
 	r.fleet.SetHosts(assumedHosts)
 	if err := r.buildPeers(); err != nil {
 		return err
@@ -146,6 +149,7 @@
 		Host:       r.settings.Name,
 		Workers:    relayWorkers,
 		QueueLimit: relayQueue,
+		OnNotice:   r.logNotice,
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
 	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed))
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -112,6 +112,7 @@
 		Hosts:       live,
 		Servers:     r.fleet.Size(),
 		CutOffZones: len(r.hosts.UnreachableZones(now)),
+		Limited:     r.bounds.Counts().Limited,
 		Dropped:     r.droppedLines(),
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"hyssophub/flow"
 	"hyssophub/props"
 	"hyssophub/rules"
 )
@@ -42,7 +43,7 @@
 	switch d.Cmd {
 	case "table":
 		s.now = s.start
-		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d))
+		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d), flow.NewTable())
 		s.table.SetHosts(int(props.Number(t, d, "hosts")))
 		s.rules = rules.NewTable(0)
 		s.rules.Apply(rules.Set{Version: 1, Services: []rules.Service{{
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"hyssophub/flow"
+)
 
 // Observation is the outcome of an exchange with an instance. The interface is
 // sealed.
@@ -64,3 +68,15 @@
 	}
 	return lowest
 }
+
+// Learn applies what an instance said, in an answer that arrived now, of the
+// requests that it takes. sent is when the request was sent. It returns what
+// changed.
+func (t *Table) Learn(c Choice, notice flow.Notice, sent, now time.Time) []flow.Change {
+	return t.bounds.Learn(c.flowServer(), notice, sent, now)
+}
+
+// flowServer returns the identity of this run of the instance.
+func (i Instance) flowServer() flow.Server {
+	return flow.Server{ID: i.ID, StartMs: i.StartMs, Zone: i.Zone}
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -5,14 +5,17 @@
 	"sync"
 	"time"
 
+	"hyssophub/flow"
 	"hyssophub/rules"
 )
 
 // Table holds the registered instances. In the lock order, its lock comes after
-// that of package rules and before that of package dial; no other lock is
+// that of package rules and before that of package flow; no other lock is
 // acquired while it is held.
 type Table struct {
 	zone string
+	// bounds holds what the instances say of the requests that they take.
+	bounds *flow.Table
 
 	mu       sync.Mutex
 	byID     map[string]*server
@@ -29,8 +32,8 @@
 
 // NewTable returns an empty table for a host in the given availability zone. The
 // phases of the hosts, 0 to 1, must be spread evenly.
-func NewTable(zone string, phase float64) *Table {
-	return &Table{zone: zone, phase: phase, byID: make(map[string]*server), services: make(map[string][]*server), hosts: 1}
+func NewTable(zone string, phase float64, bounds *flow.Table) *Table {
+	return &Table{zone: zone, phase: phase, bounds: bounds, byID: make(map[string]*server), services: make(map[string][]*server), hosts: 1}
 }
 
 // SetHosts sets the number of live hosts, this one included.
@@ -101,6 +104,7 @@
 }
 
 func (t *Table) remove(s *server) {
+	t.bounds.Forget(s.ID)
 	delete(t.byID, s.ID)
 	list := t.services[s.Service]
 	if at := slices.Index(list, s); at >= 0 {
--- /dev/null
+++ b/flow/notice.go
@@ -0,0 +1,43 @@
+// Package flow bounds the requests that all hosts together send to a backend
+// server. It owns what the servers say in their answers about the requests that
+// they take, and this host's permits to send to a server with a rate limit.
+// Reading answers is left to package platform, the choice of a server to package
+// fleet, and the messages between hosts to package peer.
+package flow
+
+// Server identifies one run of a backend server. A server that restarts under the
+// same ID has another start time, and nothing that the former run said holds for it.
+type Server struct {
+	ID string
+	// StartMs is the start time in milliseconds of Unix time.
+	StartMs int64
+	// Zone is the availability zone of the server.
+	Zone string
+}
+
+// Notice is what a backend server says in an answer about the requests that it
+// takes. The zero value is an answer that says nothing.
+type Notice struct {
+	// Limited is set if the server names a rate limit. Rate is the limit, in
+	// requests a second from all hosts together.
+	Limited bool
+	Rate    float64
+}
+
+// Change is a difference between what a server said before and says now. The
+// interface is sealed.
+type Change interface{ change() }
+
+type (
+	// LimitNamed means that a server names a rate limit for the first time, or
+	// another one than before. Rate is in requests a second.
+	LimitNamed struct {
+		Server Server
+		Rate   float64
+	}
+	// LimitEnded means that a server names no rate limit any more.
+	LimitEnded struct{ Server Server }
+)
+
+func (LimitNamed) change() {}
+func (LimitEnded) change() {}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssophub/fault"
+	"hyssophub/flow"
 	"hyssophub/rules"
 	"hyssophub/shard"
 	"hyssophub/work"
@@ -21,6 +22,9 @@
 	// QueueLimit is the greatest number of jobs per class that wait for a
 	// worker.
 	QueueLimit int
+	// OnNotice, if not nil, is called when a backend server says something else than
+	// before of the requests that it takes.
+	OnNotice func(flow.Change)
 }
 
 // job is a unit of work for the pool. The interface is sealed.
@@ -225,7 +229,13 @@
 		return
 	}
 	outcome := e.backend.Do(ctx, x.request)
-	e.table.recordOutcome(x, outcome, time.Now())
+	changes := e.table.recordOutcome(x, outcome, time.Now())
+	if e.options.OnNotice == nil {
+		return
+	}
+	for _, c := range changes {
+		e.options.OnNotice(c)
+	}
 }
 
 // Close refuses new requests, waits for those in progress, then stops the
--- a/relay/message.go
+++ b/relay/message.go
@@ -13,6 +13,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/fleet"
+	"hyssophub/flow"
 	"hyssophub/rules"
 )
 
@@ -65,11 +66,16 @@
 		Body   []byte
 		// Seal authenticates the answer to the client; empty if absent.
 		Seal string
+		// Notice is what the server said of the requests that it takes; nil if the
+		// answer is not known to be from the server.
+		Notice *flow.Notice
 	}
 	// Refused is proof that the server did not run the request.
 	Refused struct {
 		Reason     fault.Reason
 		RetryAfter time.Duration
+		// Notice is as in Answered. It is nil if no answer arrived.
+		Notice *flow.Notice
 	}
 	// Failed is an exchange without a complete answer.
 	Failed struct {
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -13,6 +13,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/fleet"
+	"hyssophub/flow"
 	"hyssophub/gossip"
 	"hyssophub/props"
 	"hyssophub/rules"
@@ -89,7 +90,7 @@
 // of the system as name@zone.
 func (s *script) host(t *testing.T, d *datadriven.TestData) {
 	s.now = s.start
-	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0)
+	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0, flow.NewTable())
 	s.fleet.SetHosts(1)
 	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: 400}, s.now)
 	for _, line := range strings.Fields(d.Input) {
--- a/relay/table.go
+++ b/relay/table.go
@@ -6,6 +6,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/fleet"
+	"hyssophub/flow"
 	"hyssophub/gossip"
 	"hyssophub/rules"
 )
@@ -221,11 +222,16 @@
 }
 
 // recordOutcome applies the outcome of an exchange to the fleet's state of the
-// instance, to the reachability of its availability zone and to the request.
-func (t *Table) recordOutcome(x *exchange, outcome Outcome, now time.Time) {
+// instance, to the reachability of its availability zone and to the request. It
+// returns what the instance newly said of the requests that it takes.
+func (t *Table) recordOutcome(x *exchange, outcome Outcome, now time.Time) []flow.Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fleet.Observe(x.request.Choice.ID, x.began, observe(x, outcome, now), now)
+	var changes []flow.Change
+	if notice := noticeOf(outcome); notice != nil {
+		changes = t.fleet.Learn(x.request.Choice, *notice, x.began, now)
+	}
 	switch o := outcome.(type) {
 	case Failed:
 		if o.Reason != fault.ReasonSilentConnection && (o.Reason != fault.ReasonStopping || now.Sub(x.began) > minUnansweredAge) {
@@ -238,7 +244,7 @@
 	p := &r.parts[x.part]
 	p.removeOpen(x)
 	if r.finished {
-		return
+		return changes
 	}
 	switch o := outcome.(type) {
 	case Answered:
@@ -263,6 +269,19 @@
 	case r.wake <- struct{}{}:
 	default:
 	}
+	return changes
+}
+
+// noticeOf returns what a backend server said, in the answer of an exchange, of the
+// requests that it takes; nil if no answer arrived.
+func noticeOf(outcome Outcome) *flow.Notice {
+	switch o := outcome.(type) {
+	case Answered:
+		return o.Notice
+	case Refused:
+		return o.Notice
+	}
+	return nil
 }
 
 // acceptAnswer stores a successful answer. A part is answered once, and no two
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -61,6 +61,8 @@
 	Servers int
 	// CutOffZones is the number of availability zones that are taken to be cut off.
 	CutOffZones int
+	// Limited is the number of backend servers that name a rate limit.
+	Limited int
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
 }
@@ -111,6 +113,7 @@
 		{"hyssophub.tier.hosts", "Live hosts, this one included.", func(t TierState) int64 { return int64(t.Hosts) }},
 		{"hyssophub.tier.servers", "Registered backend servers.", func(t TierState) int64 { return int64(t.Servers) }},
 		{"hyssophub.tier.cut_zones", "Availability zones taken to be cut off.", func(t TierState) int64 { return int64(t.CutOffZones) }},
+		{"hyssophub.tier.limited", "Backend servers that name a rate limit.", func(t TierState) int64 { return int64(t.Limited) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
 	}
 	instruments := make([]metric.Observable, len(gauges))
