Reproduce the excess at servers with a rate limit as a failing test

Six real hosts send 816 requests in 4 s to a server that names a limit of 12 a second; 77 are allowed.

--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -60,6 +60,7 @@
 	// drainingSince is the time when the store accepted the state draining, in
 	// Unix nanoseconds; zero before.
 	drainingSince atomic.Int64
+	limit         rateLimit
 	slots         chan struct{}
 }
 
@@ -108,6 +109,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.limit.record(w.Header())
 	// A host that was frozen or had no answer from the store may not have learned
 	// that this server is draining.
 	if drainingSince := s.drainingSince.Load(); drainingSince > s.executions.lastDisturbance.Load()+int64(settleTime) && time.Now().UnixNano()-drainingSince > int64(drainLimit) {
