Share a backend server's rate limit among all hosts by permits

Callers saw nothing, but a server that named a limit received twice what it allows. Cause: no host used the limit; class of fault: a bound for the fleet that no single host can hold, like the slots of decision 0001 and the cold rate. A limit that each host obeys alone would multiply it by the hosts that send.

Each limit now has one owner among the live hosts of the server's zone, which grants permits to the hosts that ask. Everything that is sent to the server uses one: first sends, hedges, repeats and parts for other hosts. Servers without a permit are passed over, and what no server takes in time is refused at once with the time of the next permit.

--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -2,6 +2,13 @@
 
 import "hyssophub/flow"
 
+// logNotices logs what other hosts say of backend servers.
+func (r *Relay) logNotices(changes []flow.Change) {
+	for _, c := range changes {
+		r.logNotice(c)
+	}
+}
+
 // logNotice logs what a backend server newly says of the requests that it takes. Its
 // answers that say the same again are not logged.
 func (r *Relay) logNotice(change flow.Change) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -101,6 +101,7 @@
 	for {
 		now := time.Now()
 		sharingHosts := r.hosts.Expire(now)
+		r.updateMembers(now)
 		_, sameZoneHosts := r.hosts.Counts(now)
 		if now.Sub(r.started) > discoveryTime {
 			r.relayTable.SetHostCount(sharingHosts)
--- /dev/null
+++ b/daemon/permits.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"time"
+
+	"hyssophub/flow"
+	"hyssophub/gossip"
+)
+
+// minAskPause is the least time between two rounds of asks, so that a host under load
+// gathers the asks of many requests.
+const minAskPause = 20 * time.Millisecond
+
+// askForPermits asks the owners of rate limits for permits, until the host closes.
+func (r *Relay) askForPermits() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-r.bounds.Wake():
+		case <-r.ctx.Done():
+			return
+		}
+		now := time.Now()
+		batches, next := r.bounds.Asks(now)
+		for _, b := range batches {
+			if err := r.permits.Send(b, now); err != nil {
+				r.log.Debug().Err(err).Msg("asks for permits not sent")
+			}
+		}
+		pause := time.NewTimer(minAskPause)
+		select {
+		case <-pause.C:
+		case <-r.ctx.Done():
+			pause.Stop()
+			return
+		}
+		if !next.IsZero() {
+			timer.Reset(time.Until(next))
+		}
+	}
+}
+
+// permitHandler handles the datagrams of other hosts about permits. It implements
+// peer.PermitHandler.
+type permitHandler struct{ *Relay }
+
+// Answer implements peer.PermitHandler.
+func (h permitHandler) Answer(host string, asks []flow.Ask) []flow.Grant {
+	grants, changes := h.bounds.Answer(host, asks, time.Now())
+	h.logNotices(changes)
+	return grants
+}
+
+// Accept implements peer.PermitHandler.
+func (h permitHandler) Accept(number uint64, grants []flow.Grant) {
+	h.logNotices(h.bounds.Accept(number, grants, time.Now()))
+}
+
+// updateMembers tells the table of rate limits which hosts are known, and the other
+// hosts whether this one may own limits.
+func (r *Relay) updateMembers(now time.Time) {
+	joined := r.bounds.HasJoined(now)
+	r.hosts.UpdateSelf(func(record *gossip.Record) { record.Joined = joined })
+	known := r.hosts.Known(now)
+	members := make([]flow.Member, 0, len(known))
+	for _, k := range known {
+		members = append(members, flow.Member{
+			Name:        k.Name,
+			Zone:        k.Zone,
+			Incarnation: k.Incarnation,
+			Address:     r.permits.PermitAddress(k.HeartbeatAddress),
+			Live:        k.Live,
+			Leaving:     k.Leaving,
+			Joined:      k.Joined,
+		})
+	}
+	r.bounds.SetMembers(members, now)
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -78,6 +78,7 @@
 	syncer     *feed.Syncer
 	hosts      *gossip.Table
 	peers      *peers
+	permits    *peer.PermitSocket
 
 	clientListener  *listener
 	readyListener   *listener
@@ -113,8 +114,10 @@
 	r.metricsListener.serve(r.stats.Handler())
 	r.peerListener.serve(peer.NewRelayHandler(relayHandler{r}))
 	r.peers.heartbeats.Start(r.receiveHeartbeat)
+	r.permits.Start(permitHandler{r})
 	r.syncer.Start()
 	r.jobs.Go(r.sendHeartbeats)
+	r.jobs.Go(r.askForPermits)
 	r.jobs.Go(r.probeZones)
 	r.jobs.Go(r.closeStaleConnections)
 	r.log.Info().Str("zone", settings.Zone).Str("front", settings.ClientAddr).Msg("host started")
@@ -137,7 +140,7 @@
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
-	r.bounds = flow.NewTable()
+	r.bounds = flow.NewTable(r.settings.Name, r.started)
 	r.fleet = fleet.NewTable(r.settings.Zone, float64(hash.Sum64()%phaseSteps)/phaseSteps, r.bounds)
 	r.fleet.SetHosts(assumedHosts)
 	if err := r.buildPeers(); err != nil {
@@ -181,6 +184,9 @@
 	if err != nil {
 		return oops.Wrapf(err, "heartbeat address %s", r.settings.HeartbeatAddr)
 	}
+	if r.permits, err = peer.ListenPermits(r.settings.Name, r.settings.PermitAddr); err != nil {
+		return errors.Join(err, heartbeats.Close())
+	}
 	r.peers = &peers{client: peer.NewRelayClient(), heartbeats: heartbeats, wake: make(chan struct{}, 1)}
 	for _, seed := range r.settings.Seeds {
 		if seed == r.settings.PeerAddr {
@@ -288,6 +294,9 @@
 		r.engine.Close()
 		r.backends.Close()
 	}
+	if r.permits != nil {
+		errs = append(errs, r.permits.Close())
+	}
 	if r.peers != nil {
 		errs = append(errs, r.peers.heartbeats.Close())
 		r.peers.client.Close()
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hyssophub/flow"
 	"hyssophub/rules"
 )
 
@@ -34,6 +35,8 @@
 	// HealthyOnly excludes instances that seem down, stalled, overloaded or
 	// unreachable.
 	HealthyOnly bool
+	// Again is set if no instance could be chosen for the request before.
+	Again bool
 }
 
 // Choice is the instance that a request is sent to.
@@ -46,9 +49,20 @@
 
 // Refusal says when to try again after no instance could be chosen.
 type Refusal struct {
-	// RetryAfter is the time until a cold instance accepts the next request from
-	// this host; zero if no cold instance was passed over.
+	// RetryAfter is the time until an instance that bounds its requests, because it is
+	// cold or names a rate limit, accepts the next one from this host; zero if no such
+	// instance was passed over.
 	RetryAfter time.Duration
+	// Bounded is set if all instances that could serve the request bound their
+	// requests, so that none serves it before RetryAfter.
+	Bounded bool
+}
+
+// add adds an instance that accepts no request before a time.
+func (r *Refusal) add(until, now time.Time) {
+	if wait := until.Sub(now); r.RetryAfter == 0 || wait < r.RetryAfter {
+		r.RetryAfter = wait
+	}
 }
 
 // Choose returns the instance of a service with the lowest cost and records the
@@ -66,6 +80,7 @@
 	}
 	best.inFlight = append(best.inFlight, now)
 	t.reserveColdRequest(rule, best, now)
+	t.bounds.Send(best.flowServer(), now)
 	return Choice{Instance: best.Instance, ConnLimit: t.connLimit(rule)}, refusal, true
 }
 
@@ -73,31 +88,96 @@
 // again.
 func (t *Table) best(constraints Constraints, rule *rules.Service, service string, exclude []string, now time.Time) (*server, Refusal) {
 	var (
-		best     *server
-		bestCost = math.Inf(1)
-		refusal  Refusal
+		best, wanted         *server
+		bestCost, wantedCost = math.Inf(1), math.Inf(1)
+		closedServers        []*server
+		refusal              Refusal
+		unbounded            bool
 	)
 	for _, s := range t.services[service] {
 		if !t.isEligible(constraints, rule, s, exclude, now, &refusal) {
 			continue
 		}
+		closed, isClosed := t.bounds.Check(s.flowServer(), now).(flow.Closed)
 		if constraints.HealthyOnly && t.isUnhealthy(s, now) {
+			unbounded = unbounded || !isClosed
 			continue
 		}
 		if limit := t.connLimit(rule); limit > 0 && len(s.inFlight) >= limit {
+			unbounded = unbounded || !isClosed
 			continue
 		}
 		cost := t.cost(s, now)
 		if s.Zone != t.zone {
 			cost += crossZoneCost * constraints.TargetLatency.Seconds()
 		}
-		if cost < bestCost {
+		switch {
+		case isClosed:
+			refusal.add(closed.Until, now)
+			closedServers = append(closedServers, s)
+			if cost < wantedCost {
+				wanted, wantedCost = s, cost
+			}
+		case cost < bestCost:
 			best, bestCost = s, cost
 		}
 	}
+	switch {
+	case best == nil:
+		for _, s := range closedServers {
+			t.bounds.Want(s.flowServer(), constraints.Again, now)
+		}
+	case wantedCost < bestCost:
+		t.bounds.Want(wanted.flowServer(), constraints.Again, now)
+	}
+	refusal.Bounded = !unbounded && refusal.RetryAfter > 0
 	return best, refusal
 }
 
+// CountClosed returns the number of services none of whose instances takes a request
+// from this host before a time, because all of them bound their requests, and the time
+// until the first of these takes one. It counts only services of whose instances at
+// least one is in service.
+func (t *Table) CountClosed(constraints Constraints, services []string, before, now time.Time) (int, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.bounds.IsEmpty() {
+		return 0, 0
+	}
+	count := 0
+	var first Refusal
+	for _, service := range services {
+		if until, closed := t.closedUntil(constraints, service, now); closed && !until.Before(before) {
+			count++
+			first.add(until, now)
+		}
+	}
+	return count, first.RetryAfter
+}
+
+// closedUntil returns the time before which no instance of a service takes a request
+// from this host, and whether all of them bound their requests.
+func (t *Table) closedUntil(constraints Constraints, service string, now time.Time) (time.Time, bool) {
+	var (
+		refusal Refusal
+		until   time.Time
+	)
+	rule, _ := constraints.View.Service(service)
+	for _, s := range t.services[service] {
+		if !t.isEligible(constraints, rule, s, nil, now, &refusal) {
+			continue
+		}
+		c, ok := t.bounds.Check(s.flowServer(), now).(flow.Closed)
+		if !ok {
+			return time.Time{}, false
+		}
+		if until.IsZero() || c.Until.Before(until) {
+			until = c.Until
+		}
+	}
+	return until, !until.IsZero()
+}
+
 // isEligible reports whether new requests may be sent to an instance at all. If
 // only the rate limit of a cold instance forbids it, refusal gets the shortest
 // time to wait.
@@ -115,9 +195,7 @@
 	}
 	t.startColdInterval(rule, s, now)
 	if now.Before(s.nextColdRequest) {
-		if wait := s.nextColdRequest.Sub(now); refusal.RetryAfter == 0 || wait < refusal.RetryAfter {
-			refusal.RetryAfter = wait
-		}
+		refusal.add(s.nextColdRequest, now)
 		return false
 	}
 	return true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 	switch d.Cmd {
 	case "table":
 		s.now = s.start
-		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d), flow.NewTable())
+		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d), flow.NewTable("self", s.start))
 		s.table.SetHosts(int(props.Number(t, d, "hosts")))
 		s.rules = rules.NewTable(0)
 		s.rules.Apply(rules.Set{Version: 1, Services: []rules.Service{{
@@ -66,6 +66,10 @@
 		return fmt.Sprint(zones)
 	case "observe":
 		s.observe(t, d)
+	case "limit":
+		s.limit(t, d)
+	case "grant":
+		s.grant(t, d)
 	default:
 		d.Fatalf(t, "unknown command")
 	}
@@ -149,6 +153,40 @@
 	s.table.Observe(id, began, o, s.now)
 }
 
+// limit makes an instance name a rate limit in an answer, or none if the rate is
+// negative.
+func (s *script) limit(t *testing.T, d *datadriven.TestData) {
+	rate := props.Number(t, d, "rate")
+	i := s.instance(props.Text(t, d, "id"))
+	s.table.Learn(Choice{Instance: i}, flow.Notice{Limited: rate >= 0, Rate: rate}, s.now, s.now)
+}
+
+// grant gives this host permits for each of some instances of a zone, as the host that
+// owns their limits does.
+func (s *script) grant(t *testing.T, d *datadriven.TestData) {
+	ids := strings.Split(props.Text(t, d, "id"), "+")
+	s.table.bounds.SetMembers([]flow.Member{{Name: "owner", Zone: "a", Address: "owner", Live: true, Joined: true}}, s.now)
+	batches, _ := s.table.bounds.Asks(s.now)
+	for _, b := range batches {
+		for _, a := range b.Asks {
+			if !slices.Contains(ids, a.Server.ID) {
+				continue
+			}
+			grant := flow.Grant{Server: a.Server, Limit: a.Limit, Permits: int(props.Number(t, d, "permits")), Wait: time.Second}
+			s.table.bounds.Accept(b.Number, []flow.Grant{grant}, s.now)
+		}
+	}
+}
+
+func (s *script) instance(id string) Instance {
+	for _, i := range s.table.Instances() {
+		if i.ID == id {
+			return i
+		}
+	}
+	return Instance{}
+}
+
 func phase(t *testing.T, d *datadriven.TestData) float64 {
 	if !d.HasArg("phase") {
 		return 0
--- a/flow/notice.go
+++ b/flow/notice.go
@@ -24,6 +24,12 @@
 	Rate    float64
 }
 
+// MaxRate is the highest rate limit, in requests a second, that is taken to be one.
+const MaxRate = 1e6
+
+// IsRate reports whether a number is a possible rate limit, in requests a second.
+func IsRate(rate float64) bool { return rate >= 0 && rate <= MaxRate }
+
 // Change is a difference between what a server said before and says now. The
 // interface is sealed.
 type Change interface{ change() }
--- a/flow/table.go
+++ b/flow/table.go
@@ -1,68 +1,149 @@
 package flow
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// Table holds the servers that bound the requests that they take. In the lock
+// Table holds the servers that bound the requests that they take, with this host's
+// permits for them, and the permits that it grants to other hosts. In the lock
 // order, its lock comes after that of package fleet and before that of package
 // dial; no other lock is acquired while it is held.
 type Table struct {
-	mu      sync.Mutex
+	self    string
+	started time.Time
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// random spreads the asks of the hosts over time.
+	random  *rand.Rand
 	servers map[string]*state
+	members map[string]*member
+	// epoch counts the changes of members.
+	epoch uint64
+	// asked counts the sets of asks that were sent.
+	asked uint64
 }
 
 // state is what is known of one server.
 type state struct {
 	server Server
-	// limited is set while the server names a rate limit, rate. toldAt is when the
-	// answer arrived that named the limit first.
-	limited bool
-	rate    float64
-	toldAt  time.Time
+	limit  limit
+	// permits are the requests that this host may still send to the server while it
+	// names a limit, those that end first before the others.
+	permits []permits
+	// wanted counts this host's requests that were sent to the server or would have
+	// been, had there been a permit.
+	wanted recentCount
+	// waitingAt is when a request last found no permit, and nextPermit the time from
+	// which one is expected.
+	waitingAt  time.Time
+	nextPermit time.Time
+	ask        askState
+	ledger     ledger
+}
+
+// permits are permits that end at the same time.
+type permits struct {
+	count int
+	until time.Time
+}
+
+// limit is the rate limit of a server.
+type limit struct {
+	// named is set while the server names a limit; rate is in requests a second from
+	// all hosts together.
+	named bool
+	rate  float64
+	// namedAt is when the limit became known to this host. saidAt is when the newest
+	// answer that it follows from arrived, at this host or at another.
+	namedAt time.Time
+	saidAt  time.Time
+	// reported is the rate in the last LimitNamed.
+	reported float64
 }
 
-// NewTable returns a table without servers.
-func NewTable() *Table { return &Table{servers: make(map[string]*state)} }
+// NewTable returns a table without servers. self is the name of this host, which
+// starts now.
+func NewTable(self string, now time.Time) *Table {
+	return &Table{
+		self:    self,
+		started: now,
+		wake:    make(chan struct{}, 1),
+		random:  rand.New(rand.NewPCG(hash(self), uint64(now.UnixNano()))),
+		servers: make(map[string]*state),
+		members: make(map[string]*member),
+	}
+}
 
 // Learn applies what a server said in an answer that arrived now, to a request that
 // was sent at the given time, and returns what changed.
 func (t *Table) Learn(server Server, notice Notice, sent, now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[server.ID]
-	if s != nil && s.server.StartMs != server.StartMs {
-		if server.StartMs < s.server.StartMs {
-			return nil
-		}
-		s = nil
+	if !notice.Limited && t.servers[server.ID] == nil {
+		return nil
 	}
+	s := t.state(server)
 	if s == nil {
-		if !notice.Limited {
-			return nil
-		}
+		return nil
+	}
+	if !notice.Limited && (!s.limit.named || !sent.After(s.limit.namedAt)) {
+		// Answers overtake each other. Only a request that was sent after the limit
+		// became known shows that the limit has ended.
+		return nil
+	}
+	changes := s.setLimit(notice.Limited, notice.Rate, now, now)
+	if len(changes) > 0 {
+		// The owner of the limit is told at once.
+		s.ask.next = now
+		t.wakeUp()
+	}
+	return changes
+}
+
+// state returns the entry of a server, adding it if necessary. It returns nil if a
+// later run of the server is known.
+func (t *Table) state(server Server) *state {
+	s := t.servers[server.ID]
+	switch {
+	case s == nil || s.server.StartMs < server.StartMs:
 		s = &state{server: server}
 		t.servers[server.ID] = s
+	case s.server.StartMs > server.StartMs:
+		return nil
 	}
-	return s.learnLimit(notice, sent, now)
+	return s
 }
 
-// learnLimit applies the rate limit in a notice. An answer without a limit ends the
-// limit only if its request was sent after the limit became known: answers overtake
-// each other.
-func (s *state) learnLimit(notice Notice, sent, now time.Time) []Change {
+// setLimit applies a limit, or its end, that follows from an answer at saidAt.
+func (s *state) setLimit(named bool, rate float64, saidAt, now time.Time) []Change {
+	if saidAt.Before(s.limit.saidAt) {
+		return nil
+	}
+	wasNamed := s.limit.named
+	s.limit.saidAt, s.limit.named, s.limit.rate = saidAt, named, rate
 	switch {
-	case notice.Limited && (!s.limited || s.rate != notice.Rate):
-		s.limited, s.rate, s.toldAt = true, notice.Rate, now
-		return []Change{LimitNamed{Server: s.server, Rate: notice.Rate}}
-	case !notice.Limited && s.limited && sent.After(s.toldAt):
-		s.limited = false
+	case !named && !wasNamed:
+		return nil
+	case !named:
+		s.permits = nil
 		return []Change{LimitEnded{Server: s.server}}
+	case !wasNamed:
+		s.limit.namedAt = now
+	case math.Abs(rate-s.limit.reported) <= reportedChange*s.limit.reported:
+		return nil
 	}
-	return nil
+	s.limit.reported = rate
+	return []Change{LimitNamed{Server: s.server, Rate: rate}}
 }
 
+// reportedChange is the relative change of a rate up to which it is not reported, so
+// that a limit that varies with the load does not fill the log.
+const reportedChange = 0.1
+
 // Forget removes what is known of a server that is gone.
 func (t *Table) Forget(id string) {
 	t.mu.Lock()
@@ -70,6 +151,105 @@
 	delete(t.servers, id)
 }
 
+// Admission says whether a request may be sent to a server now. The interface is
+// sealed.
+type Admission interface{ admission() }
+
+type (
+	// Open servers take requests without a permit.
+	Open struct{}
+	// Permitted servers take a request for a permit that this host has.
+	Permitted struct{}
+	// Closed servers take no request from this host before Until.
+	Closed struct{ Until time.Time }
+)
+
+func (Open) admission()      {}
+func (Permitted) admission() {}
+func (Closed) admission()    {}
+
+// Check reports whether a request may be sent to a server now. It uses no permit.
+func (t *Table) Check(server Server, now time.Time) Admission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server.ID]
+	switch {
+	case s == nil || s.server.StartMs != server.StartMs || !s.limit.named:
+		return Open{}
+	case s.validPermits(now) > 0:
+		return Permitted{}
+	case s.nextPermit.After(now):
+		return Closed{Until: s.nextPermit}
+	default:
+		return Closed{Until: now.Add(unknownWait)}
+	}
+}
+
+// unknownWait is the time until a permit that is named while none is known.
+const unknownWait = 20 * time.Millisecond
+
+// IsEmpty reports whether no server is known to bound its requests.
+func (t *Table) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.servers) == 0
+}
+
+// Send counts a request that is sent to a server now, and uses a permit for it if
+// the server names a limit.
+func (t *Table) Send(server Server, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server.ID]
+	if s == nil || s.server.StartMs != server.StartMs || !s.limit.named {
+		return
+	}
+	s.wanted.add(now)
+	if s.validPermits(now) > 0 {
+		s.permits[0].count--
+	}
+	t.wakeUp()
+}
+
+// Want records that a request would have been sent to a server, had there been a
+// permit. again is set if the same request wanted one before.
+func (t *Table) Want(server Server, again bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server.ID]
+	if s == nil || s.server.StartMs != server.StartMs || !s.limit.named {
+		return
+	}
+	s.waitingAt = now
+	if !again {
+		s.wanted.add(now)
+	}
+	t.wakeUp()
+}
+
+// validPermits removes the permits that have ended or were used, and counts the
+// others.
+func (s *state) validPermits(now time.Time) int {
+	for len(s.permits) > 0 && (s.permits[0].count == 0 || !now.Before(s.permits[0].until)) {
+		s.permits = s.permits[1:]
+	}
+	count := 0
+	for _, p := range s.permits {
+		count += p.count
+	}
+	return count
+}
+
+func (t *Table) wakeUp() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Wake receives a value when Asks is to be called.
+func (t *Table) Wake() <-chan struct{} { return t.wake }
+
 // Counts is the number of servers by what bounds the requests that they take.
 type Counts struct {
 	// Limited is the number of servers that name a rate limit.
@@ -82,7 +262,7 @@
 	defer t.mu.Unlock()
 	var c Counts
 	for _, s := range t.servers {
-		if s.limited {
+		if s.limit.named {
 			c.Limited++
 		}
 	}
--- a/gossip/host.go
+++ b/gossip/host.go
@@ -29,6 +29,9 @@
 	Watching bool
 	// Leaving means that the host is stopping.
 	Leaving bool
+	// Joined means that the host has run long enough to know the other hosts, so that
+	// it may own rate limits of backend servers.
+	Joined bool
 }
 
 // Record is the table entry of a host. Its times are on the clock of the local host.
--- a/peer/beats.go
+++ b/peer/beats.go
@@ -30,7 +30,7 @@
 // Start calls handle for each received heartbeat until Close. Datagrams that
 // cannot be decoded are dropped.
 func (s *HeartbeatSocket) Start(handle func(member.Heartbeat)) {
-	s.receive(func(data []byte) {
+	s.receive(func(data []byte, _ netip.AddrPort) {
 		if heartbeat, err := DecodeHeartbeat(data, s.zone); err == nil {
 			handle(heartbeat)
 		}
--- a/peer/datagrams.go
+++ b/peer/datagrams.go
@@ -31,15 +31,15 @@
 
 // receive starts a goroutine that calls handle for each received datagram until
 // Close. The bytes are valid until handle returns.
-func (s *udpSocket) receive(handle func([]byte)) {
+func (s *udpSocket) receive(handle func(data []byte, from netip.AddrPort)) {
 	s.reader.Go(func() {
 		buffer := make([]byte, maxDatagram)
 		for {
-			n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+			n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 			if err != nil {
 				return
 			}
-			handle(buffer[:n])
+			handle(buffer[:n], from)
 		}
 	})
 }
--- /dev/null
+++ b/peer/permits.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"hyssophub/flow"
+	"hyssophub/peer/peerpb"
+)
+
+// PermitHandler handles the datagrams of other hosts about permits to send requests
+// to backend servers with a rate limit.
+type PermitHandler interface {
+	// Answer answers the asks of a host.
+	Answer(host string, asks []flow.Ask) []flow.Grant
+	// Accept applies the grants that answer the batch of asks with the given number.
+	Accept(number uint64, grants []flow.Grant)
+}
+
+// PermitSocket sends and receives asks for permits, and the grants that answer them,
+// over UDP. A lost datagram leaves permits unused; the next ask replaces it.
+type PermitSocket struct {
+	*udpSocket
+	// host is the name of this host.
+	host string
+}
+
+// ListenPermits opens the socket of a host at a UDP address (IP:PORT). Receiving
+// begins with Start.
+func ListenPermits(host, address string) (*PermitSocket, error) {
+	socket, err := listenUDP(address)
+	if err != nil {
+		return nil, err
+	}
+	return &PermitSocket{udpSocket: socket, host: host}, nil
+}
+
+// Start passes the received datagrams to handler until Close, and sends the grants
+// that it returns. Datagrams that cannot be decoded are dropped.
+func (s *PermitSocket) Start(handler PermitHandler) {
+	s.receive(func(data []byte, from netip.AddrPort) {
+		var msg peerpb.Datagram
+		if err := proto.Unmarshal(data, &msg); err != nil {
+			return
+		}
+		now := time.Now()
+		if len(msg.GetGrants()) > 0 {
+			handler.Accept(msg.GetNumber(), decodeGrants(msg.GetGrants(), now))
+		}
+		if len(msg.GetAsks()) == 0 {
+			return
+		}
+		grants := handler.Answer(msg.GetHost(), decodeAsks(msg.GetAsks(), now))
+		reply := &peerpb.Datagram{Host: s.host, Number: msg.GetNumber(), Grants: encodeGrants(grants, now)}
+		if data, err := proto.Marshal(reply); err == nil {
+			_, _ = s.conn.WriteToUDPAddrPort(data, from)
+		}
+	})
+}
+
+// Send sends a batch of asks.
+func (s *PermitSocket) Send(b *flow.Batch, now time.Time) error {
+	to, err := netip.ParseAddrPort(b.Address)
+	if err != nil {
+		return oops.Wrapf(err, "parse address %s", b.Address)
+	}
+	msg := &peerpb.Datagram{Host: s.host, Number: b.Number}
+	for _, a := range b.Asks {
+		msg.Asks = append(msg.Asks, &peerpb.Ask{Server: encodeServer(a.Server), Limit: encodeLimit(a.Limit, now), Want: uint32(max(0, a.Want))})
+	}
+	data, err := proto.Marshal(msg)
+	if err != nil {
+		return oops.Wrapf(err, "asks")
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
+		return oops.Wrapf(err, "send asks to %s", b.Address)
+	}
+	return nil
+}
+
+// PermitAddress returns the address of another host's permit socket: its IP number
+// with the port of this host's socket, since all hosts listen on the same ports.
+func (s *PermitSocket) PermitAddress(heartbeatAddress string) string {
+	at, err := netip.ParseAddrPort(heartbeatAddress)
+	local, ok := s.conn.LocalAddr().(*net.UDPAddr)
+	if err != nil || !ok {
+		return ""
+	}
+	return netip.AddrPortFrom(at.Addr(), uint16(local.Port)).String()
+}
+
+func encodeServer(s flow.Server) *peerpb.Server {
+	return &peerpb.Server{Id: s.ID, Start: s.StartMs, Zone: s.Zone}
+}
+
+func decodeServer(msg *peerpb.Server) flow.Server {
+	return flow.Server{ID: msg.GetId(), StartMs: msg.GetStart(), Zone: msg.GetZone()}
+}
+
+func encodeLimit(l flow.Limit, now time.Time) *peerpb.Limit {
+	return &peerpb.Limit{Rate: l.Rate, None: !l.Named, Age: uint32(max(0, now.Sub(l.SaidAt).Milliseconds()))}
+}
+
+func decodeLimit(msg *peerpb.Limit, now time.Time) flow.Limit {
+	return flow.Limit{Named: !msg.GetNone(), Rate: msg.GetRate(), SaidAt: now.Add(-time.Duration(msg.GetAge()) * time.Millisecond)}
+}
+
+// decodeAsks decodes asks. Those without a server or with an impossible rate are left
+// out.
+func decodeAsks(list []*peerpb.Ask, now time.Time) []flow.Ask {
+	asks := make([]flow.Ask, 0, len(list))
+	for _, msg := range list {
+		if msg.GetServer().GetId() == "" || msg.GetLimit() == nil || !flow.IsRate(msg.GetLimit().GetRate()) {
+			continue
+		}
+		asks = append(asks, flow.Ask{Server: decodeServer(msg.GetServer()), Limit: decodeLimit(msg.GetLimit(), now), Want: int(min(msg.GetWant(), maxWant))})
+	}
+	return asks
+}
+
+// maxWant bounds the permits that one ask asks for, and the ones that a grant brings.
+const maxWant = 10000
+
+func encodeGrants(grants []flow.Grant, now time.Time) []*peerpb.Grant {
+	list := make([]*peerpb.Grant, 0, len(grants))
+	for _, g := range grants {
+		list = append(list, &peerpb.Grant{
+			Server: encodeServer(g.Server), Limit: encodeLimit(g.Limit, now), Permits: uint32(max(0, g.Permits)),
+			Wait: uint32(max(0, g.Wait.Milliseconds())), Owner: g.Owner,
+		})
+	}
+	return list
+}
+
+func decodeGrants(list []*peerpb.Grant, now time.Time) []flow.Grant {
+	grants := make([]flow.Grant, 0, len(list))
+	for _, msg := range list {
+		if msg.GetServer().GetId() == "" || msg.GetLimit() == nil || !flow.IsRate(msg.GetLimit().GetRate()) {
+			continue
+		}
+		grants = append(grants, flow.Grant{
+			Server: decodeServer(msg.GetServer()), Limit: decodeLimit(msg.GetLimit(), now), Permits: int(min(msg.GetPermits(), maxWant)),
+			Wait: time.Duration(msg.GetWait()) * time.Millisecond, Owner: msg.GetOwner(),
+		})
+	}
+	return grants
+}
--- a/peer/pulse.go
+++ b/peer/pulse.go
@@ -28,7 +28,7 @@
 // Start calls handle for each received heartbeat until Close. Datagrams that
 // cannot be decoded or name no sender are dropped.
 func (s *GossipSocket) Start(handle func(gossip.Heartbeat)) {
-	s.receive(func(data []byte) {
+	s.receive(func(data []byte, _ netip.AddrPort) {
 		var msg peerpb.Pulse
 		if err := proto.Unmarshal(data, &msg); err == nil && msg.GetSelf().GetName() != "" {
 			handle(decodeGossip(&msg, time.Now()))
@@ -82,6 +82,7 @@
 		Age:         uint32(max(0, now.Sub(r.LastSeen).Milliseconds())),
 		Incarnation: r.Incarnation,
 		Leaving:     r.Leaving,
+		Joined:      r.Joined,
 	}
 	if !r.StoreContact.IsZero() {
 		msg.Contact = uint32(max(0, now.Sub(r.StoreContact).Milliseconds())) + 1
@@ -110,6 +111,7 @@
 			Progress:         msg.GetPosition(),
 			Watching:         msg.GetWatching(),
 			Leaving:          msg.GetLeaving(),
+			Joined:           msg.GetJoined(),
 		},
 		LastSeen: now.Add(-time.Duration(msg.GetAge()) * time.Millisecond),
 	}
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -15,15 +15,23 @@
 	if !t.hosts.HasUnreachableZone(now) {
 		return true
 	}
-	services := make([]string, len(r.parts))
-	for i := range r.parts {
-		services[i] = r.parts[i].service
-	}
 	minShare := 1.0
 	if r.gather != nil {
 		minShare = r.gather.MinShare
 	}
-	return t.hasReachable(t.scope(r.request.View), services, minShare, now)
+	return t.hasReachable(t.scope(r.request.View), r.services(), minShare, now)
+}
+
+// isClosedOff reports whether the servers of too many services of a gathered request
+// take none in time, because they bound their requests. It is then refused before
+// anything is sent.
+func (t *Table) isClosedOff(r *requestState, now time.Time) bool {
+	if r.gather == nil {
+		return false
+	}
+	closed, wait := t.fleet.CountClosed(t.scope(r.request.View), r.services(), r.answerAt, now)
+	r.serverRetryAfter = wait
+	return r.cannotSucceed(closed)
 }
 
 // scope returns the rules for the choice of instances. The services are those
--- a/relay/record.go
+++ b/relay/record.go
@@ -81,6 +81,11 @@
 	// pausedUntil is the earliest time of the next exchange after none could be
 	// started.
 	pausedUntil time.Time
+	// unchosen is set if no instance could be chosen for the last exchange.
+	// closedUntil is the time before which no instance takes the part, because all of
+	// them bound their requests; zero if it is not known.
+	unchosen    bool
+	closedUntil time.Time
 	// hedged is set once a second exchange was started while the first was
 	// open.
 	hedged bool
@@ -127,6 +132,15 @@
 	return false
 }
 
+// services returns the service of each part.
+func (r *requestState) services() []string {
+	list := make([]string, len(r.parts))
+	for i := range r.parts {
+		list[i] = r.parts[i].service
+	}
+	return list
+}
+
 // retryAfter returns the time after which a refused client may retry.
 func (r *requestState) retryAfter() time.Duration { return max(refusalRetryAfter, r.serverRetryAfter) }
 
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -36,6 +36,7 @@
 	start       time.Time
 	now         time.Time
 	fleet       *fleet.Table
+	bounds      *flow.Table
 	hosts       *gossip.Table
 	table       *Table
 	routing     *rules.Table
@@ -57,6 +58,8 @@
 		s.servers(d)
 	case "drain":
 		s.drain(t, d)
+	case "limit":
+		s.limit(t, d)
 	case "zone-out":
 		s.routing.SetZoneOut(props.Text(t, d, "zone"), true)
 	case "begin":
@@ -90,7 +93,8 @@
 // of the system as name@zone.
 func (s *script) host(t *testing.T, d *datadriven.TestData) {
 	s.now = s.start
-	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0, flow.NewTable())
+	s.bounds = flow.NewTable("self", s.start)
+	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0, s.bounds)
 	s.fleet.SetHosts(1)
 	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: 400}, s.now)
 	for _, line := range strings.Fields(d.Input) {
@@ -123,6 +127,25 @@
 	}
 }
 
+// limit makes an instance name a rate limit, of which this host has no permit, and the
+// owner of the limit say when there is one.
+func (s *script) limit(t *testing.T, d *datadriven.TestData) {
+	for _, i := range s.fleet.Instances() {
+		if i.ID != props.Text(t, d, "id") {
+			continue
+		}
+		s.bounds.SetMembers([]flow.Member{{Name: "owner", Zone: i.Zone, Address: "owner", Live: true, Joined: true}}, s.now)
+		s.fleet.Learn(fleet.Choice{Instance: i}, flow.Notice{Limited: true, Rate: 1}, s.now, s.now)
+		s.bounds.Want(flow.Server{ID: i.ID, StartMs: i.StartMs}, false, s.now)
+		batches, _ := s.bounds.Asks(s.now)
+		for _, b := range batches {
+			for _, a := range b.Asks {
+				s.bounds.Accept(b.Number, []flow.Grant{{Server: a.Server, Limit: a.Limit, Wait: props.Duration(t, d, "wait")}}, s.now)
+			}
+		}
+	}
+}
+
 func (s *script) begin(t *testing.T, d *datadriven.TestData) string {
 	services := strings.Split(props.Text(t, d, "services"), "+")
 	route := rules.Route{
--- a/relay/send.go
+++ b/relay/send.go
@@ -77,12 +77,17 @@
 func (t *Table) send(r *requestState, i int, healthyOnly bool, now time.Time, a *actions) bool {
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
-	scope.TargetLatency, scope.HealthyOnly = r.request.Route.TargetLatency, healthyOnly
+	scope.TargetLatency, scope.HealthyOnly, scope.Again = r.request.Route.TargetLatency, healthyOnly, p.unchosen
 	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried, now)
 	if !ok {
 		r.serverRetryAfter = refusal.RetryAfter
+		p.unchosen, p.closedUntil = true, time.Time{}
+		if refusal.Bounded {
+			p.closedUntil = now.Add(refusal.RetryAfter)
+		}
 		return false
 	}
+	p.unchosen, p.closedUntil = false, time.Time{}
 	x := &exchange{
 		state: r,
 		part:  i,
--- a/relay/table.go
+++ b/relay/table.go
@@ -124,6 +124,9 @@
 	if !r.collecting && !t.isReachable(r, now) {
 		return actions{result: declined(fault.NotRun{}, fault.ReasonZoneCut, cutOffRetryAfter)}
 	}
+	if !r.collecting && t.isClosedOff(r, now) {
+		return actions{result: declined(fault.NotRun{}, fault.ReasonNoReplica, r.retryAfter())}
+	}
 	var delegations []*delegation
 	if r.gather != nil && !r.collecting {
 		delegations = t.plan(r, now)
@@ -195,7 +198,7 @@
 	}
 	switch {
 	case r.collecting || !r.isUndelivered():
-	case overdue:
+	case overdue, r.isClosed(deliverBy):
 		a.result = declined(fault.NotRun{}, fault.ReasonNoReplica, r.retryAfter())
 	default:
 		a.wakeBy(deliverBy)
@@ -215,6 +218,23 @@
 	return true
 }
 
+// isClosed reports whether so many parts find no instance in time, because all of
+// theirs bound their requests, that the request cannot succeed. deliverBy is when a
+// request to one service must have reached an instance.
+func (r *requestState) isClosed(deliverBy time.Time) bool {
+	by := deliverBy
+	if r.gather != nil {
+		by = r.answerAt
+	}
+	closed := 0
+	for i := range r.parts {
+		if r.parts[i].closedUntil.After(by) {
+			closed++
+		}
+	}
+	return r.cannotSucceed(closed)
+}
+
 func (a *actions) wakeBy(when time.Time) {
 	if when.Before(a.wakeAt) {
 		a.wakeAt = when
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"os"
@@ -23,8 +24,10 @@
 	ReadinessAddr string
 	PeerAddr      string
 	MetricsAddr   string
-	// HeartbeatAddr is the UDP address of heartbeats between hosts.
+	// HeartbeatAddr is the UDP address of heartbeats between hosts, PermitAddr that of
+	// permits for servers with a rate limit.
 	HeartbeatAddr string
+	PermitAddr    string
 	// MilliCores is the CPU share of the host in thousandths of a core.
 	MilliCores int
 	// StoreAddr is the address of the platform's store.
@@ -53,7 +56,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, store, the list seeds, the numbers cores and memory and the objects stop (grace) and budget (ratio, burst, window)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the numbers cores and memory and the objects stop (grace) and budget (ratio, burst, window)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -65,6 +68,7 @@
 	Peer   string   `json:"peer"`
 	Stats  string   `json:"stats"`
 	Beat   string   `json:"beat"`
+	Permit string   `json:"permit"`
 	Cores  float64  `json:"cores"`
 	Store  string   `json:"store"`
 	Seeds  []string `json:"seeds"`
@@ -119,16 +123,18 @@
 		PeerAddr:      decoded.Peer,
 		MetricsAddr:   decoded.Stats,
 		HeartbeatAddr: decoded.Beat,
-		MilliCores:    int(decoded.Cores * 1000),
-		StoreAddr:     decoded.Store,
-		Seeds:         decoded.Seeds,
-		MemoryMB:      decoded.Memory,
-		Stop:          RelayStop{Grace: seconds(grace)},
-		Budget:        RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
+		// The ports of TCP and UDP are separate, so the default is free.
+		PermitAddr: cmp.Or(decoded.Permit, decoded.Stats),
+		MilliCores: int(decoded.Cores * 1000),
+		StoreAddr:  decoded.Store,
+		Seeds:      decoded.Seeds,
+		MemoryMB:   decoded.Memory,
+		Stop:       RelayStop{Grace: seconds(grace)},
+		Budget:     RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
 	}
 	errs := []error{checkName("name", decoded.Name), checkName("zone", decoded.Zone)}
 	for _, field := range []struct{ name, value string }{
-		{"front", decoded.Front}, {"ready", decoded.Ready}, {"peer", decoded.Peer}, {"stats", decoded.Stats}, {"beat", decoded.Beat}, {"store", decoded.Store},
+		{"front", decoded.Front}, {"ready", decoded.Ready}, {"peer", decoded.Peer}, {"stats", decoded.Stats}, {"beat", decoded.Beat}, {"permit", settings.PermitAddr}, {"store", decoded.Store},
 	} {
 		errs = append(errs, checkAddress(field.name, field.value))
 	}
