Answer every request before a planned stop closes its connection

Reported by operators of similar systems, and possible here: a request that came late in the grace period was sent to a server and cut off without an answer when the connections were closed, since it ended only by its own deadline. The engine now ends all requests 0.2 s before the connections close, with the parts that are in or with a verdict, and refuses at once what arrives with less than its response-time objective left. TestStopAnswersEachRequest plays both with a silent server, for requests that may and that may not be repeated; before, the first one waited for its deadline of a minute.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -49,6 +49,9 @@
 	unreadyNotice = 3 * time.Second
 	// closeMargin is the part of the grace period that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
+	// finalAnswerMargin is the time before the closing of the clients' connections at
+	// which requests get their final answer.
+	finalAnswerMargin = 200 * time.Millisecond
 	// clientIdleTimeout is the time after which idle connections of clients are
 	// closed.
 	clientIdleTimeout = 5 * time.Minute
@@ -263,6 +266,7 @@
 	r.peers.Announce()
 	r.log.Info().Dur("grace", r.settings.Stop.Grace).Msg("host is stopping")
 	deadline := time.Now().Add(r.settings.Stop.Grace - closeMargin)
+	r.engine.EndBy(deadline.Add(-finalAnswerMargin))
 	noticeTimer := time.NewTimer(min(unreadyNotice, r.settings.Stop.Grace/2))
 	defer noticeTimer.Stop()
 	select {
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -49,6 +49,7 @@
 	options Options
 	pool    *work.Pool[job]
 	active  work.Gate
+	stop    stopState
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -70,6 +71,7 @@
 		options:   options,
 		suspended: make(map[uint64]*suspendedCollection),
 	}
+	e.stop.ended = make(chan struct{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.pool = work.NewPool(options.Workers, options.QueueLimit, e.handle)
 	return e
@@ -102,7 +104,7 @@
 	if !request.Deadline.After(now) {
 		return declined(fault.NotRun{}, fault.ReasonDeadline, 0), Report{}
 	}
-	if !e.active.Enter() {
+	if e.stop.isTooLate(request.Route.TargetLatency, now) || !e.active.Enter() {
 		return declined(fault.NotRun{}, fault.ReasonStopping, refusalRetryAfter), Report{}
 	}
 	defer e.active.Leave()
@@ -169,6 +171,8 @@
 		select {
 		case <-r.wake:
 		case <-timer.C:
+		case <-e.stop.ended:
+			return e.table.stopped(r)
 		case <-r.ctx.Done():
 			return declined(fault.MayHaveRun{}, fault.ReasonClientLeft, 0)
 		}
@@ -244,6 +248,7 @@
 	// Collections for other hosts are cancelled at once; those hosts then send
 	// the parts to backend servers themselves.
 	e.cancel()
+	e.stop.close()
 	e.active.Close()
 	e.pool.Close()
 }
