Share the rate of a cold server by permits as well

The cold rate was the same kind of bound as a named limit, kept in another place by another rule: each host took an equal share by the number of hosts that it knew. With 67 hosts and 5 requests a second that is one request in 19 s for each host, whether it needs the server or not; with hosts that disagree on their number the shares do not add up. flow now grants permits at 0.7 of the cold rate, or at a lower limit that the server names too, by the same owner.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -40,9 +40,6 @@
 	// memoryLimitShare is the soft memory limit of the Go runtime as a share of
 	// the process's memory limit; the rest is for the kernel's buffers.
 	memoryLimitShare = 0.6
-	// phaseSteps is the number of distinct phases that hosts can have within an
-	// interval.
-	phaseSteps = 1024
 	// unreadyNotice is how long a stopping host still accepts connections after
 	// it reports not ready. The balancer checks once a second and removes a host
 	// after two failed checks.
@@ -144,7 +141,7 @@
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
 	r.bounds = flow.NewTable(r.settings.Name, r.started)
-	r.fleet = fleet.NewTable(r.settings.Zone, float64(hash.Sum64()%phaseSteps)/phaseSteps, r.bounds)
+	r.fleet = fleet.NewTable(r.settings.Zone, r.bounds)
 	r.fleet.SetHosts(assumedHosts)
 	if err := r.buildPeers(); err != nil {
 		return err
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -75,7 +75,7 @@
 // follow runs a Syncer for a duration and returns its tables.
 func follow(t *testing.T, p *fakeSource, c *fakePeers, duration time.Duration) (*fleet.Table, *rules.Table) {
 	t.Helper()
-	instances, routing := fleet.NewTable("a", 0, flow.NewTable("self", time.Now())), rules.NewTable(0)
+	instances, routing := fleet.NewTable("a", flow.NewTable("self", time.Now())), rules.NewTable(0)
 	syncer := NewSyncer(p, c, routing, instances, zerolog.Nop())
 	syncer.Start()
 	time.Sleep(duration)
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -57,7 +57,7 @@
 	switch d.Cmd {
 	case "new":
 		s.now = s.start
-		s.fleet, s.rules, s.peers = fleet.NewTable("a", 0, flow.NewTable("self", s.start)), rules.NewTable(0), &recordedPeers{}
+		s.fleet, s.rules, s.peers = fleet.NewTable("a", flow.NewTable("self", s.start)), rules.NewTable(0), &recordedPeers{}
 		s.syncer = NewSyncer(decoder{}, s.peers, s.rules, s.fleet, zerolog.Nop())
 	case "load":
 		s.syncer.apply(Update{Items: items(d.Input), Revision: revision, Full: true}, fromStore, s.now)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -73,10 +73,14 @@
 }
 
 func reasonOf(c flow.Closed) fault.Reason {
-	if c.Paused {
+	switch {
+	case c.Paused:
 		return fault.ReasonPause
+	case c.Cold:
+		return fault.ReasonCold
+	default:
+		return fault.ReasonRateLimit
 	}
-	return fault.ReasonRateLimit
 }
 
 // Choose returns the instance of a service with the lowest cost and records the
@@ -93,7 +97,6 @@
 		return Choice{}, refusal, false
 	}
 	best.inFlight = append(best.inFlight, now)
-	t.reserveColdRequest(rule, best, now)
 	t.bounds.Send(best.flowServer(), now)
 	return Choice{Instance: best.Instance, Detour: detour, ConnLimit: t.connLimit(rule)}, refusal, true
 }
@@ -192,9 +195,8 @@
 	return first, !first.Until.IsZero()
 }
 
-// isEligible reports whether new requests may be sent to an instance at all. If
-// only the rate limit of a cold instance forbids it, refusal gets the shortest
-// time to wait.
+// isEligible reports whether new requests may be sent to an instance at all, apart from
+// bounds on their rate. If the instance is shutting down, refusal gets that reason.
 func (t *Table) isEligible(constraints Constraints, rule *rules.Service, s *server, exclude []string, now time.Time, refusal *Refusal) bool {
 	if _, draining := s.State.(Draining); draining || constraints.Out[s.Zone] {
 		return false
@@ -202,18 +204,13 @@
 	if slices.Contains(exclude, s.ID) {
 		return false
 	}
+	if rule != nil && rule.ColdRate > 0 && s.isCold(now) {
+		t.bounds.SetCold(s.flowServer(), rule.ColdRate, s.coldUntil)
+	}
 	if _, ended := t.bounds.Check(s.flowServer(), now).(flow.Ended); ended {
 		refusal.Reason = cmp.Or(refusal.Reason, fault.ReasonDraining)
 		return false
 	}
-	if rule == nil || rule.ColdRate <= 0 || !s.isCold(now) {
-		return true
-	}
-	t.startColdInterval(rule, s, now)
-	if now.Before(s.nextColdRequest) {
-		refusal.add(s.nextColdRequest, now, fault.ReasonCold)
-		return false
-	}
 	return true
 }
 
@@ -232,34 +229,6 @@
 	return t.unreachable[s.Zone] || s.isStalled(now) || now.Before(s.retryAt) || now.Before(s.shedUntil)
 }
 
-// reserveColdRequest sets the time of this host's next request to a cold
-// instance, so that all hosts together stay below the cold rate of the service.
-func (t *Table) reserveColdRequest(rule *rules.Service, s *server, now time.Time) {
-	if rule == nil || rule.ColdRate <= 0 || !s.isCold(now) {
-		return
-	}
-	s.nextColdRequest = now.Add(t.coldInterval(rule))
-}
-
-// coldRateShare is the share of a cold instance's rate that the hosts together
-// use. The margin is for requests that do not arrive evenly.
-const coldRateShare = 0.7
-
-// coldInterval is the time between two requests of this host to a cold instance.
-func (t *Table) coldInterval(rule *rules.Service) time.Duration {
-	return time.Duration(float64(t.hosts) / (coldRateShare * rule.ColdRate) * float64(time.Second))
-}
-
-// startColdInterval delays this host's first request to an instance that became
-// cold by the host's phase within the interval, so that the hosts do not all send
-// their first requests at once.
-func (t *Table) startColdInterval(rule *rules.Service, s *server, now time.Time) {
-	if !s.phasedColdUntil.Equal(s.coldUntil) {
-		s.phasedColdUntil = s.coldUntil
-		s.nextColdRequest = now.Add(time.Duration(t.phase * float64(t.coldInterval(rule))))
-	}
-}
-
 // connOvercommit is the factor by which the sum of all hosts' limits may exceed
 // the connections of an instance. The hosts seldom use their whole shares at the
 // same moment.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 	switch d.Cmd {
 	case "table":
 		s.now = s.start
-		s.table = NewTable(props.Text(t, d, "zone"), phase(t, d), flow.NewTable("self", s.start))
+		s.table = NewTable(props.Text(t, d, "zone"), flow.NewTable("self", s.start))
 		s.table.SetHosts(int(props.Number(t, d, "hosts")))
 		s.rules = rules.NewTable(0)
 		s.rules.Apply(rules.Set{Version: 1, Services: []rules.Service{{
@@ -186,10 +186,3 @@
 	}
 	return Instance{}
 }
-
-func phase(t *testing.T, d *datadriven.TestData) float64 {
-	if !d.HasArg("phase") {
-		return 0
-	}
-	return props.Number(t, d, "phase")
-}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -32,12 +32,6 @@
 	// coldUntil is when the instance stops being cold, according to its
 	// registration.
 	coldUntil time.Time
-	// nextColdRequest is when this host may send the next request to the instance
-	// while it is cold.
-	nextColdRequest time.Time
-	// phasedColdUntil is the value of coldUntil for which the first
-	// nextColdRequest was set.
-	phasedColdUntil time.Time
 	// shedUntil is the time until which the instance is avoided because it shed
 	// load.
 	shedUntil time.Time
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -20,20 +20,16 @@
 	mu       sync.Mutex
 	byID     map[string]*server
 	services map[string][]*server
-	// hosts is the number of live hosts, by which rate and connection limits of
-	// an instance are divided.
+	// hosts is the number of live hosts, by which connection limits of an instance are
+	// divided.
 	hosts int
-	// phase is this host's offset within the interval between requests to a cold
-	// instance, 0 to 1.
-	phase float64
 	// unreachable holds the availability zones that are considered unreachable.
 	unreachable map[string]bool
 }
 
-// NewTable returns an empty table for a host in the given availability zone. The
-// phases of the hosts, 0 to 1, must be spread evenly.
-func NewTable(zone string, phase float64, bounds *flow.Table) *Table {
-	return &Table{zone: zone, phase: phase, bounds: bounds, byID: make(map[string]*server), services: make(map[string][]*server), hosts: 1}
+// NewTable returns an empty table for a host in the given availability zone.
+func NewTable(zone string, bounds *flow.Table) *Table {
+	return &Table{zone: zone, bounds: bounds, byID: make(map[string]*server), services: make(map[string][]*server), hosts: 1}
 }
 
 // SetHosts sets the number of live hosts, this one included.
@@ -70,12 +66,10 @@
 		t.byID[i.ID] = s
 		t.services[i.Service] = append(t.services[i.Service], s)
 	}
-	wasCold := s.isCold(now)
 	s.Instance = i
 	s.coldUntil = now.Add(i.ColdFor)
-	if wasCold {
-		// The instance was cold already, so its request interval continues.
-		s.phasedColdUntil = s.coldUntil
+	if i.ColdFor <= 0 {
+		t.bounds.EndCold(i.ID)
 	}
 }
 
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -88,6 +88,9 @@
 	switch d.Cmd {
 	case "limit":
 		m.setLimit(props.Number(t, d, "rate"))
+	case "cold":
+		m.coldRate = props.Number(t, d, "rate")
+		m.setLimit(-1)
 	case "loss":
 		m.loss = props.Number(t, d, "share")
 	default:
@@ -116,6 +119,9 @@
 // its limit that the argument "use" names.
 func verdict(t *testing.T, m *model, d *datadriven.TestData, from time.Time) string {
 	counted, all, allowed := m.check()
+	if m.coldRate > 0 {
+		return coldVerdict(t, m, d, from)
+	}
 	if m.limit < 0 {
 		return "no bound"
 	}
@@ -135,6 +141,20 @@
 	return result
 }
 
+// coldVerdict is the verdict on a server that is cold.
+func coldVerdict(t *testing.T, m *model, d *datadriven.TestData, from time.Time) string {
+	result := "within the bound"
+	if most, allowed := m.checkCold(); float64(most) > allowed {
+		result = fmt.Sprintf("%d requests in a second, %g allowed", most, allowed)
+	}
+	if d.HasArg("use") {
+		if rate := m.rate(from); rate < props.Number(t, d, "use")*m.coldRate {
+			result += fmt.Sprintf("; used %.2f of %g a second", rate, m.coldRate)
+		}
+	}
+	return result
+}
+
 // TestLimitHoldsInRandomHistories guards against orders of restarts, freezes, cuts,
 // lost messages and changes of the limit in which hosts that are told of a limit send
 // more together than it allows.
--- a/flow/model_test.go
+++ b/flow/model_test.go
@@ -30,12 +30,14 @@
 // model runs the tables of some hosts over a simulated network, with one server that
 // names a limit.
 type model struct {
-	now      time.Time
-	random   *rand.Rand
-	hosts    []*modelHost
-	server   Server
-	limit    float64
-	limitAt  time.Time
+	now     time.Time
+	random  *rand.Rand
+	hosts   []*modelHost
+	server  Server
+	limit   float64
+	limitAt time.Time
+	// coldRate is the rate that the server stands while it is cold; zero if it is warm.
+	coldRate float64
 	loss     float64
 	pending  []delayedCall
 	arrivals []arrival
@@ -200,6 +202,9 @@
 
 // request sends one request to the server if the host's table admits it.
 func (m *model) request(h *modelHost) {
+	if m.coldRate > 0 {
+		h.table.SetCold(m.server, m.coldRate, m.now.Add(time.Second))
+	}
 	permitted := false
 	switch h.table.Check(m.server, m.now).(type) {
 	case Closed:
@@ -251,6 +256,22 @@
 	return counted, all, boundFactor*m.limit*boundWindow.Seconds() + boundSlack
 }
 
+// checkCold returns the most requests within a second since the last change, of all
+// hosts whether excused or not, and the number that a cold server stands.
+func (m *model) checkCold() (most int, allowed float64) {
+	first := 0
+	for i, a := range m.arrivals {
+		for a.at.Sub(m.arrivals[first].at) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most, coldFactor*m.coldRate + boundSlack
+}
+
+// coldFactor is the factor by which a cold server may get more than its rate.
+const coldFactor = 1.5
+
 // rate returns the requests a second that reached the server since the given time.
 func (m *model) rate(since time.Time) float64 {
 	count := 0
--- a/flow/share.go
+++ b/flow/share.go
@@ -41,7 +41,11 @@
 	Server Server
 	// Limit is what the asking host knows of the limit.
 	Limit Limit
-	Want  int
+	// ColdRate is the rate, in requests a second, that the server stands while it is
+	// cold, for ColdTime from now; both are zero if it is not.
+	ColdRate float64
+	ColdTime time.Duration
+	Want     int
 }
 
 // Limit is what a host knows of a server's limit.
@@ -96,7 +100,7 @@
 	byAddress := make(map[string]*Batch)
 	for _, s := range t.servers {
 		want := s.want(now)
-		if !s.limit.named && now.Sub(s.limit.saidAt) > retainAsk || s.limit.named && want == 0 {
+		if _, isBounded := s.bound(now); !isBounded && now.Sub(s.limit.saidAt) > retainAsk || isBounded && want == 0 {
 			continue
 		}
 		if now.Before(s.ask.next) {
@@ -122,7 +126,7 @@
 				s.ask.misses++
 			}
 			s.ask.number, s.ask.sentAt = b.Number, now
-			b.Asks = append(b.Asks, Ask{Server: s.server, Limit: s.known(), Want: want})
+			b.Asks = append(b.Asks, s.askFor(want, now))
 		}
 	}
 	return batches, next
@@ -138,6 +142,14 @@
 	return max(0, want-s.validPermits(now))
 }
 
+func (s *state) askFor(want int, now time.Time) Ask {
+	a := Ask{Server: s.server, Limit: s.known(), Want: want}
+	if left := s.cold.until.Sub(now); left > 0 {
+		a.ColdRate, a.ColdTime = s.cold.rate, left
+	}
+	return a
+}
+
 func (s *state) known() Limit {
 	return Limit{Named: s.limit.named, Rate: s.limit.rate, SaidAt: s.limit.saidAt}
 }
@@ -182,6 +194,9 @@
 			continue
 		}
 		changes = append(changes, s.learnFrom(a.Limit, now)...)
+		if a.ColdTime > 0 {
+			s.cold = cold{rate: a.ColdRate, until: now.Add(a.ColdTime)}
+		}
 		grants = append(grants, t.grant(s, host, a.Want, now))
 	}
 	return grants, changes
@@ -226,10 +241,11 @@
 	if g.Wait > 0 {
 		s.nextPermit = now.Add(g.Wait)
 	}
-	if g.Permits <= 0 || !s.limit.named {
+	rate, isBounded := s.bound(now)
+	if g.Permits <= 0 || !isBounded {
 		return
 	}
-	valid := permitTime + seconds(1/max(minRate, s.limit.rate))
+	valid := permitTime + seconds(1/max(minRate, rate))
 	s.permits = append(s.permits, permits{count: g.Permits, until: sent.Add(min(valid, permitTimeMax))})
 }
 
@@ -258,10 +274,11 @@
 		}
 		return g
 	}
-	if !s.limit.named {
+	bound, isBounded := s.bound(now)
+	if !isBounded {
 		return g
 	}
-	rate := share * max(minRate, s.limit.rate)
+	rate := share * max(minRate, bound)
 	total := s.ledger.record(host, want, now)
 	// The account of a new owner starts with nothing saved up.
 	if s.ledger.paidUntil.IsZero() {
--- a/flow/table.go
+++ b/flow/table.go
@@ -33,6 +33,7 @@
 type state struct {
 	server Server
 	limit  limit
+	cold   cold
 	// pausedUntil is the time until which the server wants no request from this host.
 	pausedUntil time.Time
 	// leaving is set once this run of the server is known to shut down. Nothing undoes
@@ -76,6 +77,32 @@
 	reported float64
 }
 
+// cold is the bound on the requests to a server that is cold until a time: the rate, in
+// requests a second, that it stands from all hosts together.
+type cold struct {
+	rate  float64
+	until time.Time
+}
+
+// coldShare is the share of a cold server's rate at which permits are granted. The
+// margin is for requests that do not arrive evenly: a cold server fails when it gets
+// more than it stands within a second.
+const coldShare = 0.7
+
+// bound returns the rate, in requests a second, at which all hosts together may send to
+// the server, and whether there is such a bound.
+func (s *state) bound(now time.Time) (float64, bool) {
+	isCold := now.Before(s.cold.until)
+	switch {
+	case isCold && s.limit.named:
+		return min(coldShare*s.cold.rate, s.limit.rate), true
+	case isCold:
+		return coldShare * s.cold.rate, true
+	default:
+		return s.limit.rate, s.limit.named
+	}
+}
+
 // NewTable returns a table without servers. self is the name of this host, which
 // starts now.
 func NewTable(self string, now time.Time) *Table {
@@ -181,7 +208,6 @@
 	case !named && !wasNamed:
 		return nil
 	case !named:
-		s.permits = nil
 		return []Change{LimitEnded{Server: s.server}}
 	case !wasNamed:
 		s.limit.namedAt = now
@@ -210,10 +236,14 @@
 // retainGone is how long what is known of a server is kept after its registration.
 const retainGone = 10 * time.Minute
 
-// expire removes the servers that have been gone for retainGone.
+// expire removes the servers that have been gone for retainGone, and those of which
+// nothing holds any more.
 func (t *Table) expire(now time.Time) {
 	for id, s := range t.servers {
+		_, isBounded := s.bound(now)
 		switch {
+		case !isBounded && !s.leaving && !now.Before(s.pausedUntil) && now.Sub(s.limit.saidAt) > retainAsk:
+			delete(t.servers, id)
 		case !s.gone:
 			s.goneAt = time.Time{}
 		case s.goneAt.IsZero():
@@ -234,10 +264,12 @@
 	// Permitted servers take a request for a permit that this host has.
 	Permitted struct{}
 	// Closed servers take no request from this host before Until. Paused is set if the
-	// server asked for a pause, and not if a permit is missing.
+	// server asked for a pause, Cold if a permit is missing because it is cold; otherwise
+	// one is missing because it names a rate limit.
 	Closed struct {
 		Until  time.Time
 		Paused bool
+		Cold   bool
 	}
 	// Ended servers are shutting down and take no request any more.
 	Ended struct{}
@@ -257,19 +289,20 @@
 		return Open{}
 	}
 	s.gone = false
+	_, isBounded := s.bound(now)
 	switch {
 	case s.leaving:
 		return Ended{}
 	case now.Before(s.pausedUntil):
 		return Closed{Until: s.pausedUntil, Paused: true}
-	case !s.limit.named:
+	case !isBounded:
 		return Open{}
 	case s.validPermits(now) > 0:
 		return Permitted{}
 	case s.nextPermit.After(now):
-		return Closed{Until: s.nextPermit}
+		return Closed{Until: s.nextPermit, Cold: now.Before(s.cold.until)}
 	default:
-		return Closed{Until: now.Add(unknownWait)}
+		return Closed{Until: now.Add(unknownWait), Cold: now.Before(s.cold.until)}
 	}
 }
 
@@ -283,13 +316,44 @@
 	return len(t.servers) == 0
 }
 
-// Send counts a request that is sent to a server now, and uses a permit for it if
-// the server names a limit.
-func (t *Table) Send(server Server, now time.Time) {
+// SetCold records that a server is cold until a time, in which all hosts together may
+// send it requests at the given rate, in requests a second.
+func (t *Table) SetCold(server Server, rate float64, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s := t.state(server); s != nil {
+		s.cold = cold{rate: rate, until: until}
+	}
+}
+
+// EndCold records that a server is not cold.
+func (t *Table) EndCold(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		s.cold = cold{}
+	}
+}
+
+// boundedState returns the entry of a server if there is a bound on its requests.
+func (t *Table) boundedState(server Server, now time.Time) *state {
 	s := t.servers[server.ID]
-	if s == nil || s.server.StartMs != server.StartMs || !s.limit.named {
+	if s == nil || s.server.StartMs != server.StartMs {
+		return nil
+	}
+	if _, ok := s.bound(now); !ok {
+		return nil
+	}
+	return s
+}
+
+// Send counts a request that is sent to a server now, and uses a permit for it if there
+// is a bound on the server's requests.
+func (t *Table) Send(server Server, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.boundedState(server, now)
+	if s == nil {
 		return
 	}
 	s.wanted.add(now)
@@ -304,8 +368,8 @@
 func (t *Table) Want(server Server, again bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[server.ID]
-	if s == nil || s.server.StartMs != server.StartMs || !s.limit.named {
+	s := t.boundedState(server, now)
+	if s == nil {
 		return
 	}
 	s.waitingAt = now
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -78,7 +78,10 @@
 	}
 	msg := &peerpb.Datagram{Host: s.host, Number: b.Number}
 	for _, a := range b.Asks {
-		msg.Asks = append(msg.Asks, &peerpb.Ask{Server: encodeServer(a.Server), Limit: encodeLimit(a.Limit, now), Want: uint32(max(0, a.Want))})
+		msg.Asks = append(msg.Asks, &peerpb.Ask{
+			Server: encodeServer(a.Server), Limit: encodeLimit(a.Limit, now), Want: uint32(max(0, a.Want)),
+			Cold: a.ColdRate, Left: uint32(max(0, a.ColdTime.Milliseconds())),
+		})
 	}
 	data, err := proto.Marshal(msg)
 	if err != nil {
@@ -156,10 +159,13 @@
 func decodeAsks(list []*peerpb.Ask, now time.Time) []flow.Ask {
 	asks := make([]flow.Ask, 0, len(list))
 	for _, msg := range list {
-		if msg.GetServer().GetId() == "" || msg.GetLimit() == nil || !flow.IsRate(msg.GetLimit().GetRate()) {
+		if msg.GetServer().GetId() == "" || msg.GetLimit() == nil || !flow.IsRate(msg.GetLimit().GetRate()) || !flow.IsRate(msg.GetCold()) {
 			continue
 		}
-		asks = append(asks, flow.Ask{Server: decodeServer(msg.GetServer()), Limit: decodeLimit(msg.GetLimit(), now), Want: int(min(msg.GetWant(), maxWant))})
+		asks = append(asks, flow.Ask{
+			Server: decodeServer(msg.GetServer()), Limit: decodeLimit(msg.GetLimit(), now), Want: int(min(msg.GetWant(), maxWant)),
+			ColdRate: msg.GetCold(), ColdTime: time.Duration(msg.GetLeft()) * time.Millisecond,
+		})
 	}
 	return asks
 }
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -55,9 +55,11 @@
 	owner, ownerHandler := listenPermits(t, "owner")
 	now := time.Now()
 	ask := flow.Ask{
-		Server: flow.Server{ID: "s", StartMs: 1700000000123, Zone: "a"},
-		Limit:  flow.Limit{Named: true, Rate: 24.5, SaidAt: now.Add(-300 * time.Millisecond)},
-		Want:   3,
+		Server:   flow.Server{ID: "s", StartMs: 1700000000123, Zone: "a"},
+		Limit:    flow.Limit{Named: true, Rate: 24.5, SaidAt: now.Add(-300 * time.Millisecond)},
+		ColdRate: 5,
+		ColdTime: 2500 * time.Millisecond,
+		Want:     3,
 	}
 	ended := flow.Ask{Server: flow.Server{ID: "e", Zone: "b"}, Limit: flow.Limit{SaidAt: now}}
 	require.NoError(t, asking.Send(&flow.Batch{Address: owner.conn.LocalAddr().String(), Number: 7, Asks: []flow.Ask{ask, ended}}, now))
@@ -68,6 +70,9 @@
 	require.InDelta(t, ask.Limit.Rate, asked[0].Limit.Rate, 0)
 	require.WithinDuration(t, ask.Limit.SaidAt, asked[0].Limit.SaidAt, 100*time.Millisecond)
 	require.False(t, asked[1].Limit.Named)
+	require.InDelta(t, ask.ColdRate, asked[0].ColdRate, 0)
+	require.Equal(t, ask.ColdTime, asked[0].ColdTime)
+	require.Zero(t, asked[1].ColdTime)
 	granted := <-askingHandler.granted
 	require.Len(t, granted, 2)
 	require.Equal(t, ask.Server, granted[0].Server)
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -96,7 +96,7 @@
 func (s *script) host(t *testing.T, d *datadriven.TestData) {
 	s.now = s.start
 	s.bounds = flow.NewTable("self", s.start)
-	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), 0, s.bounds)
+	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), s.bounds)
 	s.fleet.SetHosts(1)
 	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: 400}, s.now)
 	for _, line := range strings.Fields(d.Input) {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -32,7 +32,7 @@
 	for _, policy := range []rules.RetryPolicy{rules.Idempotent{}, rules.AtMostOnce{}} {
 		synctest.Test(t, func(t *testing.T) {
 			now := time.Now()
-			instances := fleet.NewTable("a", 0, flow.NewTable("self", now))
+			instances := fleet.NewTable("a", flow.NewTable("self", now))
 			instances.Register(fleet.Instance{ID: "s", Service: "one", Zone: "a", Address: "s", Slots: 2, State: fleet.Ready{}, Revision: 1}, now)
 			routing := rules.NewTable(0)
 			routing.Apply(rules.Set{Version: 1, Routes: []rules.Route{{
