--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -84,24 +85,56 @@
 }
 
 // readLines reads the lines that hold a JSON object. A log collector may have
-// written a prefix before the object; lines without an object are skipped.
+// written a prefix before the object; lines without an object are skipped, and so are
+// lines of more than maxLineBytes.
 func readLines(r io.Reader) ([]logLine, error) {
 	var list []logLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		start := bytes.IndexByte(scanner.Bytes(), '{')
-		if start < 0 {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if err := skipLine(reader); err != nil {
+				return list, ignoreEOF(err)
+			}
 			continue
 		}
-		raw := bytes.Clone(scanner.Bytes()[start:])
-		l := logLine{raw: raw}
-		if json.Unmarshal(raw, &l) != nil || json.Unmarshal(raw, &l.fields) != nil {
-			continue
+		if l, ok := parseLine(line); ok {
+			list = append(list, l)
+		}
+		if err != nil {
+			return list, ignoreEOF(err)
+		}
+	}
+}
+
+// skipLine reads the rest of a line.
+func skipLine(reader *bufio.Reader) error {
+	for {
+		_, err := reader.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
 		}
-		list = append(list, l)
 	}
-	return list, scanner.Err()
+}
+
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+func parseLine(line []byte) (logLine, bool) {
+	start := bytes.IndexByte(line, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	raw := bytes.Clone(bytes.TrimSpace(line[start:]))
+	l := logLine{raw: raw}
+	if json.Unmarshal(raw, &l) != nil || json.Unmarshal(raw, &l.fields) != nil {
+		return logLine{}, false
+	}
+	return l, true
 }
 
 // selectLines selects the lines of the request, and the lines that its hosts
--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -102,13 +102,19 @@
 	return f
 }
 
+// The range of the ports that reserveAddress returns.
+const (
+	firstPort = 25000
+	portCount = 5000
+)
+
 // reserveAddress returns an address that is free for TCP and UDP. Its port is
-// below the range from which the kernel assigns ports, so that other tests do not
-// get it while no host is running on it.
+// below the range from which the kernel assigns ports and above the fixed ports of
+// package soak, so that other tests do not get it while no host is running on it.
 func reserveAddress(t *testing.T) string {
 	var address string
 	waitUntil(t, func() bool {
-		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(20000+rand.IntN(10000)))
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
 		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			return false
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"hyssophub/member"
 	"hyssophub/shard"
 	"hyssophub/store"
+	"hyssophub/work"
 )
 
 // Workers, queue bound and intervals of the control jobs.
@@ -78,9 +80,20 @@
 	}
 }
 
-// schedule runs a control job after a delay, unless the host stops first.
+// queueFullDelay is the delay before a job that found a full queue is submitted
+// again.
+const queueFullDelay = 50 * time.Millisecond
+
+// schedule runs a control job after a delay, unless the host stops first. A job that
+// finds a full queue is submitted again, because the jobs that schedule themselves
+// would otherwise end for good.
 func (c *Core) schedule(delay time.Duration, j controlJob) {
-	time.AfterFunc(delay, func() { _ = c.controlPool.Submit(shard.Routine, j) })
+	time.AfterFunc(work.TimerDelay(delay), func() {
+		if errors.Is(c.controlPool.Submit(shard.Routine, j), work.ErrFull) {
+			c.log.member.Warn().Type("job", j).Msg("queue of control jobs is full, job is delayed")
+			c.schedule(queueFullDelay, j)
+		}
+	})
 }
 
 func (c *Core) runControlJob(j controlJob) {
@@ -110,6 +123,15 @@
 	}
 }
 
+// endPanicked schedules a control job that panicked again, if it is a periodic one.
+func (c *Core) endPanicked(j controlJob) {
+	switch j.(type) {
+	case watchConfigJob, hostListJob, catalogJob:
+		c.schedule(retryMaxDelay, j)
+	case ownershipJob, fetchConfigJob, rosterJob, broadcastJob:
+	}
+}
+
 // isHostListReadDue reports whether this host must read the host list now. It
 // clears ownersChanged if that is the reason.
 func (c *Core) isHostListReadDue(now time.Time) bool {
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -110,19 +110,26 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	options := owner.DefaultOptions()
 	options.Publish = c.publishToZone
+	options.OnPanic = c.reportPanic
 	c.ownership = owner.NewTable(c.checkDispatch)
 	c.ownerEngine = owner.NewEngine(c.ownership, ports.Backend, resultSender{c}, options)
 	c.queryEngine = query.NewEngine(c.config, c.routes, transport{c}, directory{c}, query.Options{
 		Host:    self.Name,
 		Workers: queryWorkers,
 		Queue:   queryQueue,
+		OnPanic: c.reportPanic,
 	})
 	c.onceEngine = c.newOnceEngine()
-	c.controlPool = work.NewPool(controlWorkers, controlQueue, c.runControlJob)
-	c.heartbeatPool = work.NewPool(1, heartbeatQueue, c.runHeartbeatJob)
+	c.controlPool = work.NewPool(controlWorkers, controlQueue, c.runControlJob, work.Recovery[controlJob]{Report: c.reportPanic, End: c.endPanicked})
+	c.heartbeatPool = work.NewPool(1, heartbeatQueue, c.runHeartbeatJob, work.Recovery[heartbeatJob]{Report: c.reportPanic, End: c.endPanickedHeartbeat})
 	return c
 }
 
+// reportPanic logs a panic that ended a job.
+func (c *Core) reportPanic(p work.Panic) {
+	c.log.member.Error().Interface("panic", p.Value).Bytes("stack", p.Stack).Msg("job ended by a panic")
+}
+
 // Start starts the control jobs and the heartbeats.
 func (c *Core) Start() {
 	c.started = time.Now()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 	d.callerListener.serve(entry.NewHandler(d.core, d.core, d.core.config, d.stats, log.Layer(logs.LayerQuery), d.Ready))
 	d.peerListener.serve(peer.NewHandler(peerHandler{d.core}))
 	d.adminListener.serve(d.adminAPI)
-	d.heartbeats.Start(d.core.HandleHeartbeat)
+	d.heartbeats.Start(d.core.HandleHeartbeat, d.core.reportPanic)
 	d.core.Start()
 	d.ready.Store(true)
 	return d, nil
--- a/daemon/pulse.go
+++ b/daemon/heartbeat.go
@@ -10,6 +10,7 @@
 	"hyssophub/member"
 	"hyssophub/shard"
 	"hyssophub/store"
+	"hyssophub/work"
 )
 
 // heartbeatQueue bounds the heartbeats that wait to be handled.
@@ -34,8 +35,15 @@
 	_ = c.heartbeatPool.Submit(shard.Routine, receiveJob{heartbeat: heartbeat})
 }
 
+// scheduleTick queues a tick after a delay. A tick that finds a full queue is
+// submitted again, because each tick schedules the next one.
 func (c *Core) scheduleTick(delay time.Duration) {
-	time.AfterFunc(delay, func() { _ = c.heartbeatPool.Submit(shard.Urgent, tickJob{}) })
+	time.AfterFunc(work.TimerDelay(delay), func() {
+		if errors.Is(c.heartbeatPool.Submit(shard.Urgent, tickJob{}), work.ErrFull) {
+			c.log.member.Warn().Msg("queue of heartbeats is full, tick is delayed")
+			c.scheduleTick(queueFullDelay)
+		}
+	})
 }
 
 func (c *Core) runHeartbeatJob(j heartbeatJob) {
@@ -55,6 +63,13 @@
 	}
 }
 
+// endPanickedHeartbeat schedules the next tick after one that panicked.
+func (c *Core) endPanickedHeartbeat(j heartbeatJob) {
+	if _, ok := j.(tickJob); ok {
+		c.scheduleTick(member.TickInterval)
+	}
+}
+
 // perform performs the actions that the member table decided on.
 func (c *Core) perform(actions []member.Action) {
 	for _, a := range actions {
--- a/daemon/trip.go
+++ b/daemon/network.go
@@ -23,11 +23,11 @@
 // withClientConn adds the clientConn to the contexts of a connection's requests. It
 // is used as http.Server.ConnContext.
 func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	tcp, ok := conn.(*net.TCPConn)
+	tracked, ok := conn.(*trackedConn)
 	if !ok {
 		return ctx
 	}
-	return context.WithValue(ctx, clientConnKey{}, &clientConn{conn: tcp})
+	return context.WithValue(ctx, clientConnKey{}, &clientConn{conn: tracked.TCPConn})
 }
 
 // networkTime returns the part of a client's waiting time that is spent on the
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,32 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssophub/feed"
 	"hyssophub/gossip"
 	"hyssophub/peer"
-)
-
-const (
-	// heartbeatInterval is the time between heartbeats in availability zones of
-	// up to smallZoneHosts hosts. In larger zones it is heartbeatIntervalLarge,
-	// so that a host in a zone of 73 hosts sends fewer than 150 datagrams a
-	// second.
-	heartbeatInterval      = 250 * time.Millisecond
-	heartbeatIntervalLarge = 500 * time.Millisecond
-	smallZoneHosts         = 16
-	// crossZoneTargets is the number of hosts in other availability zones to
-	// which a host that watches the store sends each heartbeat, so that changes
-	// reach the other zones. Any other host sends one in crossZoneEvery of its
-	// heartbeats, on average, to one host in another zone, because traffic
-	// between zones is expensive.
-	crossZoneTargets = 2
-	crossZoneEvery   = 4
+	"hyssophub/work"
 )
 
 // peers connects the syncer to the other hosts. It implements feed.Peers.
@@ -38,7 +23,7 @@
 	seedAddrs  []string
 	// seedHeartbeatAddrs are the UDP addresses of the seeds.
 	seedHeartbeatAddrs []string
-	// wake makes sendHeartbeats send at once.
+	// wake makes sendHeartbeats announce the newest change at once.
 	wake chan struct{}
 }
 
@@ -57,6 +42,21 @@
 	return append(list, p.seedAddrs...)
 }
 
+// Neighbours implements feed.Peers.
+func (p *peers) Neighbours(now time.Time) (addresses []string, isFirst bool) {
+	self := p.table.Self()
+	isFirst = true
+	for _, host := range p.table.AvailableHosts(self.Zone, now) {
+		addresses = append(addresses, host.Address)
+		isFirst = isFirst && self.Name < host.Name
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses, isFirst
+}
+
+// CheckedAt implements feed.Peers.
+func (p *peers) CheckedAt(revision uint64) time.Time { return p.table.CheckedAt(revision) }
+
 // Changes implements feed.Peers.
 func (p *peers) Changes(ctx context.Context, address string, after uint64) (feed.Update, error) {
 	return p.client.Changes(ctx, address, after)
@@ -86,64 +86,82 @@
 	}
 }
 
-// receiveHeartbeat merges a heartbeat into the host table and wakes the syncer if
-// a host has newer changes than this one.
+// receiveHeartbeat merges a heartbeat into the host table, replies to a host that
+// has just started, and wakes the syncer if a host has newer changes than this one.
 func (r *Relay) receiveHeartbeat(heartbeat gossip.Heartbeat) {
 	now := time.Now()
-	r.hosts.Receive(heartbeat, now)
+	if reply := r.hosts.Receive(heartbeat, now); len(reply.To) > 0 {
+		r.send([]gossip.Datagram{reply}, now)
+	}
 	if _, ok := r.hosts.NewestHost(now); ok {
 		r.syncer.Notify()
 	}
 }
 
+// discoveryTime is how long a host receives heartbeats before it replaces
+// assumedHosts by the number of hosts that it has discovered.
+const discoveryTime = 3 * time.Second
+
 // sendHeartbeats sends heartbeats until the host closes.
 func (r *Relay) sendHeartbeats() {
+	next := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		now := time.Now()
-		sharingHosts := r.hosts.Expire(now)
-		_, sameZoneHosts := r.hosts.Counts(now)
-		if now.Sub(r.started) > discoveryTime {
-			r.relayTable.SetHostCount(sharingHosts)
-			r.fleet.SetHosts(sharingHosts)
-		}
-		maxCrossZone := 0
-		switch {
-		case r.hosts.IsWatching():
-			maxCrossZone = crossZoneTargets
-		case rand.IntN(crossZoneEvery) == 0:
-			maxCrossZone = 1
-		}
-		inZone, crossZone := r.hosts.NextHeartbeats(now, maxCrossZone)
-		if len(inZone.To) == 0 || rand.IntN(seedEvery) == 0 {
-			crossZone.To = append(crossZone.To, r.peers.seedHeartbeatAddrs...)
-		}
-		if err := errors.Join(r.peers.heartbeats.Send(inZone.Heartbeat, inZone.To, now), r.peers.heartbeats.Send(crossZone.Heartbeat, crossZone.To, now)); err != nil {
-			r.log.Debug().Err(err).Msg("heartbeat not sent")
-		}
-		interval := heartbeatInterval
-		if sameZoneHosts > smallZoneHosts {
-			interval = heartbeatIntervalLarge
-		}
-		timer := time.NewTimer(interval)
 		select {
 		case <-timer.C:
+			work.Guard(r.reportPanic, func() {
+				now := time.Now()
+				r.updateSharingHosts(now)
+				r.measureSpeed()
+				r.send(r.hosts.NextRound(now, r.peers.seedHeartbeatAddrs), now)
+			})
+			next = time.Now().Add(r.hosts.Interval(time.Now()))
 		case <-r.peers.wake:
+			work.Guard(r.reportPanic, func() { r.send(r.hosts.Announcement(time.Now()), time.Now()) })
 		case <-r.ctx.Done():
-			timer.Stop()
 			return
 		}
-		timer.Stop()
+		timer.Reset(time.Until(next))
 	}
 }
 
-const (
-	// One in seedEvery heartbeats, on average, is also sent to the seeds, so
-	// that parts of the tier that were partitioned from each other merge again.
-	seedEvery = 8
-	// discoveryTime is how long a host receives heartbeats before it replaces
-	// assumedHosts by the number of hosts that it has discovered.
-	discoveryTime = 3 * time.Second
-)
+// updateSharingHosts sets the number of hosts that share the limits of the backend
+// servers.
+func (r *Relay) updateSharingHosts(now time.Time) {
+	sharingHosts := r.hosts.Expire(now)
+	if now.Sub(r.started) > discoveryTime {
+		r.relayTable.SetHostCount(sharingHosts)
+		r.fleet.SetHosts(sharingHosts)
+	}
+}
+
+// speedBlocks is the number of blocks that measureSpeed hashes. It takes about 40 us on
+// a whole core.
+const speedBlocks = 8
+
+// measureSpeed measures how long a fixed amount of work takes, by which other hosts
+// learn that this one is slow.
+func (r *Relay) measureSpeed() {
+	started := time.Now()
+	digest := xxhash.New()
+	for range speedBlocks {
+		_, _ = digest.Write(r.speedBlock[:])
+	}
+	r.speedSum = digest.Sum64()
+	if weight, changed := r.hosts.RecordSpeed(time.Since(started)); changed {
+		r.log.Warn().Int("weight", weight).Int("full", r.settings.MilliCores).Msg("processor speed of the host changed")
+	}
+}
+
+// send sends heartbeats.
+func (r *Relay) send(round []gossip.Datagram, now time.Time) {
+	for _, d := range round {
+		if err := r.peers.heartbeats.Send(d.Heartbeat, d.To, now); err != nil {
+			r.log.Debug().Err(err).Msg("heartbeat not sent")
+		}
+	}
+}
 
 const (
 	// probeInterval is the time between probes of an availability zone that is
@@ -164,12 +182,14 @@
 		case <-r.ctx.Done():
 			return
 		}
-		current := r.hosts.UnreachableZones(time.Now())
-		r.updateUnreachable(unreachable, current)
-		unreachable = current
-		for zone := range unreachable {
-			r.probeZone(zone)
-		}
+		work.Guard(r.reportPanic, func() {
+			current := r.hosts.UnreachableZones(time.Now())
+			r.updateUnreachable(unreachable, current)
+			unreachable = current
+			for zone := range unreachable {
+				r.probeZone(zone)
+			}
+		})
 	}
 }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -25,6 +25,7 @@
 	"hyssophub/rules"
 	"hyssophub/setup"
 	"hyssophub/stats"
+	"hyssophub/work"
 )
 
 const (
@@ -83,6 +84,11 @@
 	peerListener    *listener
 
 	started time.Time
+	// speedBlock is the input and speedSum the last result of measureSpeed.
+	speedBlock [64 << 10]byte
+	speedSum   uint64
+	// panics counts the panics of requests and jobs.
+	panics atomic.Uint64
 
 	stopping atomic.Bool
 	ctx      context.Context
@@ -106,12 +112,12 @@
 	}
 	r.clientListener.server.IdleTimeout = clientIdleTimeout
 	r.clientListener.server.ConnContext = withClientConn
-	r.clientListener.serve(platform.NewHandler(server{r}))
+	r.clientListener.serve(recoverPanics(r.reportPanic, platform.NewHandler(server{r})))
 	r.readyListener.serve(http.HandlerFunc(r.serveReadiness))
 	r.metricsListener.serve(r.stats.Handler())
-	r.peerListener.serve(peer.NewRelayHandler(relayHandler{r}))
-	r.peers.heartbeats.Start(r.receiveHeartbeat)
-	r.syncer.Start()
+	r.peerListener.serve(recoverPanics(r.reportPanic, peer.NewRelayHandler(relayHandler{r})))
+	r.peers.heartbeats.Start(r.receiveHeartbeat, r.reportPanic)
+	r.syncer.Start(r.settings.Together)
 	r.jobs.Go(r.sendHeartbeats)
 	r.jobs.Go(r.probeZones)
 	r.jobs.Go(r.closeStaleConnections)
@@ -142,13 +148,14 @@
 	}
 	r.relayTable = relay.NewTable(r.rules, r.fleet, r.hosts, relay.BudgetLimits(r.settings.Budget), assumedHosts)
 	r.backends = dial.NewClient()
-	r.engine = relay.NewEngine(r.rules, r.relayTable, platform.NewBackend(r.backends), r.peers.client, relay.Options{
+	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
 		Host:       r.settings.Name,
 		Workers:    relayWorkers,
 		QueueLimit: relayQueue,
+		OnPanic:    r.reportPanic,
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
-	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed))
+	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
 	r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats)
 	return err
 }
@@ -237,7 +244,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			r.backends.RetainAddresses(r.fleet.Addresses())
+			work.Guard(r.reportPanic, func() { r.backends.RetainAddresses(r.fleet.Addresses()) })
 		case <-r.ctx.Done():
 			return
 		}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -30,6 +30,7 @@
 		Workers:         onceWorkers,
 		Queue:           onceQueue,
 		WritesPerSecond: once.DefaultWritesPerSecond,
+		OnPanic:         c.reportPanic,
 	})
 }
 
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -113,6 +113,7 @@
 		Servers:     r.fleet.Size(),
 		CutOffZones: len(r.hosts.UnreachableZones(now)),
 		Dropped:     r.droppedLines(),
+		Panics:      r.panics.Load(),
 	}
 }
 
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -12,6 +12,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ready.Store(false)
 	d.core.AnnounceStop(ctx)
+	d.callerListener.leave()
 	noticeTimer := time.NewTimer(d.settings.Stop.UnreadyDelay)
 	defer noticeTimer.Stop()
 	select {
--- a/dial/client.go
+++ b/dial/client.go
@@ -35,6 +35,7 @@
 	closed bool
 	// probes counts the probes in progress of all pools.
 	probes sync.WaitGroup
+	bodies bodyLimit
 }
 
 // Func opens a connection, as net.Dialer.DialContext does.
@@ -49,7 +50,7 @@
 // NewClientWithDialer returns a client that opens its connections with dialer, for
 // tests in virtual time.
 func NewClientWithDialer(dialer Func) *Client {
-	return &Client{dialer: dialer, pools: make(map[string]*Pool)}
+	return &Client{dialer: dialer, pools: make(map[string]*Pool), bodies: bodyLimit{limit: defaultBodies}}
 }
 
 // Do sends a sub-request and returns its outcome. Refused is returned only with
@@ -174,7 +175,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.pools[address]
 	if !ok {
-		p = newPool(address, limit, c.dialer, &c.probes)
+		p = newPool(address, limit, c.dialer, &c.probes, &c.bodies)
 		p.closed = c.closed
 		c.pools[address] = p
 	}
@@ -197,7 +198,7 @@
 // connection may be used again. The returned outcome is nil on success.
 func (e *exchange) run(ctx context.Context, decode func(reply) bool) shard.Outcome {
 	for range maxAttempts {
-		conn, err := e.pool.get(ctx)
+		conn, err := e.open(ctx)
 		if err != nil {
 			return shard.Refused{Reason: dialReason(err)}
 		}
@@ -220,6 +221,13 @@
 	return shard.Refused{Reason: fault.ReasonConnection}
 }
 
+// open returns a connection, within the deadline of the exchange.
+func (e *exchange) open(ctx context.Context) (*connection, error) {
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	defer cancel()
+	return e.pool.get(ctx)
+}
+
 // runOn performs the exchange over one connection. On an error, the verdict says
 // whether the request may have run.
 func (e *exchange) runOn(ctx context.Context, conn *connection, start time.Time) (reply, fault.Verdict, error) {
@@ -315,7 +323,7 @@
 		e.pool.dropSilent(conn, silentUntil)
 		e.pool.startProbe()
 		return fault.ReasonDeadline
-	case errors.Is(err, errTooLarge) || errors.Is(err, errNoLength) || isTruncated(err):
+	case IsOversized(err) || errors.Is(err, errNoLength) || IsTruncated(err):
 		e.pool.drop(conn)
 		return fault.ReasonTruncated
 	default:
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -41,7 +41,7 @@
 func openConnections(t *testing.T, c *Client, placed config.PlacedServer, n int) {
 	var calls sync.WaitGroup
 	for i := range n {
-		calls.Go(func() { _ = c.Do(t.Context(), placed, testSub(uint64(i+1), time.Second)) })
+		calls.Go(func() { _ = c.Do(t.Context(), placed, testSub(uint64(i+1), socketTimeout)) })
 	}
 	calls.Wait()
 }
@@ -98,10 +98,13 @@
 
 // Guards against a request with the verdict MayHaveRun because the server closed
 // the idle connection before. The test runs over sockets, where the kernel reports
-// the close, and over connections in memory.
+// the close, and over connections in memory. A probe, which a busy machine could
+// cause over sockets, would open a connection of its own, so the pool first records
+// an exchange that delays probes past the test.
 func TestClosedIdleConnectionIsDetected(t *testing.T) {
 	options := fakes.ServerOptions{ServiceTime: 5 * time.Millisecond}
 	check := func(t *testing.T, server *fakes.Server, placed config.PlacedServer, c *Client) {
+		c.pool(placed).recordAnswer(socketTimeout, time.Now())
 		openConnections(t, c, placed, 4)
 		server.CloseConnections()
 		require.Eventually(t, func() bool {
--- a/dial/connection.go
+++ b/dial/connection.go
@@ -18,6 +18,10 @@
 	raw       syscall.RawConn
 	idleCheck idleChecker
 	reader    *bufio.Reader
+	// source is what reader reads: conn within the bounds of a response.
+	source *source
+	// bodies bounds the bodies in progress on all connections of the client.
+	bodies *bodyLimit
 	// peek, its result isIdle and its buffer are fields, so that a check
 	// allocates nothing.
 	peek   func(fd uintptr) bool
@@ -35,8 +39,9 @@
 // reports whether the connection is open and holds no unread bytes.
 type idleChecker interface{ IsIdle() bool }
 
-func newConnection(conn net.Conn) *connection {
-	c := &connection{conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}
+func newConnection(conn net.Conn, bodies *bodyLimit) *connection {
+	c := &connection{conn: conn, source: &source{conn: conn}, bodies: bodies}
+	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	c.peek = func(fd uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(fd), c.buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		c.isIdle = err == syscall.EAGAIN
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -16,12 +16,8 @@
 	"hyssophub/fault"
 )
 
-// maxBody bounds the body of a backend server's response, in bytes.
-const maxBody = 4 << 20
-
 // Errors of an exchange. The connection is closed after each of them.
 var (
-	errTooLarge = errors.New("dial: response body too large")
 	errNoLength = errors.New("dial: response without a length")
 	errSilent   = errors.New("dial: connection is silent")
 )
@@ -95,6 +91,7 @@
 // send writes the composed request. On an error, the verdict is NotRun only if
 // no byte was written.
 func (s *scratch) send(c *connection) (fault.Verdict, error) {
+	c.source.allow(maxHead, errHeadTooLarge)
 	n, err := c.conn.Write(s.request.Bytes())
 	if err != nil && n == 0 {
 		return fault.NotRun{}, err
@@ -115,15 +112,19 @@
 		return r, errNoLength
 	}
 	s.responseBody.Reset()
-	s.limited = io.LimitedReader{R: response.Body, N: maxBody + 1}
+	c.source.allow(maxBody+maxFraming, errTooLarge)
+	body := bodyReader{body: response.Body, limit: c.bodies}
+	defer body.release()
+	s.limited = io.LimitedReader{R: &body, N: maxBody + 1}
 	_, err = s.responseBody.ReadFrom(&s.limited)
 	s.limited.R = nil
-	if closeErr := response.Body.Close(); err == nil {
-		err = closeErr
-	}
 	if err == nil && s.responseBody.Len() > maxBody {
 		err = errTooLarge
 	}
+	if err == nil {
+		// After an error, Close would read the rest of the body.
+		err = response.Body.Close()
+	}
 	r.body = s.responseBody.Bytes()
 	r.reusable = r.reusable && c.reader.Buffered() == 0
 	return r, err
@@ -138,9 +139,6 @@
 	return err
 }
 
-// isTruncated reports whether the response ended before its announced length.
-func isTruncated(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }
-
 func isTimeout(err error) bool {
 	if err == nil {
 		return false
--- a/dial/forward.go
+++ b/dial/forward.go
@@ -26,6 +26,15 @@
 	// Fresh excludes connections that have been idle for longer than
 	// freshMaxIdle.
 	Fresh bool
+	// NewConnection opens a connection for this exchange. A request that is sent to
+	// a server again needs one: on a connection that carried it before, a second
+	// copy of the first answer would be taken for the new answer.
+	NewConnection bool
+	// ID identifies the request, and ResponseID returns the id of the request that
+	// a response belongs to, or "" if the response does not name it. Responses to
+	// other requests are skipped. Without ResponseID every response is accepted.
+	ID         string
+	ResponseID func(http.Header) string
 }
 
 // Reply is a server's complete response.
@@ -35,6 +44,12 @@
 	Body   []byte
 	// Reused is true if the connection served another request before.
 	Reused bool
+	// Identified is true if the response named the request that it belongs to.
+	Identified bool
+	// Unframed is true if the body has neither a length nor chunks, so that it ends
+	// with the connection. A server that fails while it sends such a body may close
+	// the connection in the same way as after the last byte.
+	Unframed bool
 }
 
 const (
@@ -65,7 +80,7 @@
 func (c *Client) Forward(ctx context.Context, f ForwardRequest) (Reply, fault.Verdict, error) {
 	p := c.poolAt(f.Address, f.ConnLimit)
 	p.SetLimit(f.ConnLimit)
-	conn, err := p.getForward(ctx, f.Fresh)
+	conn, err := p.getForward(ctx, f)
 	if err != nil {
 		return Reply{}, fault.NotRun{}, err
 	}
@@ -73,20 +88,29 @@
 }
 
 // getForward returns a connection for a forwarded request.
-func (p *Pool) getForward(ctx context.Context, fresh bool) (*connection, error) {
+func (p *Pool) getForward(ctx context.Context, f ForwardRequest) (*connection, error) {
 	maxIdle := idleTimeout
-	if fresh {
+	if f.Fresh {
 		maxIdle = freshMaxIdle
 	}
-	if c := p.getIdle(maxIdle); c != nil {
-		return c, nil
+	if !f.NewConnection {
+		if c := p.getIdle(maxIdle); c != nil {
+			return c, nil
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardDialTimeout)
+	ctx, cancel := context.WithDeadline(ctx, earliestTime(f.Deadline, time.Now().Add(forwardDialTimeout)))
 	defer cancel()
 	// Forwarded requests start no probes, so they may use the headroom.
 	return p.dial(ctx, true)
 }
 
+func earliestTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // forward performs an exchange over a connection and then returns the connection
 // to the pool or closes it.
 func (p *Pool) forward(ctx context.Context, conn *connection, f ForwardRequest) (Reply, fault.Verdict, error) {
@@ -103,11 +127,14 @@
 		p.drop(conn)
 		return Reply{}, verdict, err
 	}
-	reply, reusable, err := conn.readResponse(f.Method)
+	reply, reusable, err := conn.readOwnResponse(f, reused && p.namesRequests.Load())
 	reply.Reused = reused
+	if reply.Identified {
+		p.namesRequests.Store(true)
+	}
 	if err != nil {
 		p.drop(conn)
-		if reused && reply.Status == 0 && ctx.Err() == nil && !isTimeout(err) {
+		if reused && reply.Status == 0 && ctx.Err() == nil && !isTimeout(err) && !errors.Is(err, ErrForeign) {
 			err = errors.Join(ErrStale, err)
 		}
 		return reply, fault.MayHaveRun{}, err
@@ -133,6 +160,7 @@
 // writeRequest writes a request. The channel receives the result when the request
 // is written, which may be after the response if the request is large.
 func (c *connection) writeRequest(payload []byte) (<-chan error, fault.Verdict, error) {
+	c.source.allow(maxHead, errHeadTooLarge)
 	written := make(chan error, 1)
 	if len(payload) > maxInlineWrite {
 		go func() {
@@ -152,44 +180,112 @@
 	return written, fault.MayHaveRun{}, nil
 }
 
+// maxForeign is the number of responses to other requests that an exchange skips.
+const maxForeign = 2
+
+// ErrForeign means that a server sent a response to another request and then no
+// response to this one.
+var ErrForeign = errors.New("dial: response to another request")
+
+// readOwnResponse reads the response to a request and reports whether the connection
+// may be used again. A server may send a second copy of an earlier response where the
+// next one is expected; such a copy is skipped, and the connection is closed after
+// the exchange. Only a response that names the request is accepted after a copy, and
+// if mustName is set, because the server names requests in its responses.
+func (c *connection) readOwnResponse(f ForwardRequest, mustName bool) (Reply, bool, error) {
+	for foreign := 0; ; foreign++ {
+		reply, reusable, err := c.readResponse(f.Method)
+		if err != nil {
+			if foreign > 0 {
+				err = errors.Join(ErrForeign, err)
+			}
+			return reply, false, err
+		}
+		id := f.responseID(reply.Header)
+		reply.Identified = id == f.ID && id != ""
+		if reply.Identified || (id == "" && foreign == 0 && !mustName) {
+			return reply, reusable && foreign == 0, nil
+		}
+		if foreign == maxForeign {
+			return Reply{}, false, ErrForeign
+		}
+		c.source.allow(maxHead, errHeadTooLarge)
+	}
+}
+
+func (f *ForwardRequest) responseID(header http.Header) string {
+	if f.ResponseID == nil {
+		return ""
+	}
+	return f.ResponseID(header)
+}
+
 // readResponse reads a whole response and reports whether the connection may be
-// used again. Informational (1xx) responses are skipped. A response without a
-// length is complete when the server closes the connection with a FIN.
+// used again. The error of a response that exceeds a bound is that of the bound.
 func (c *connection) readResponse(method string) (Reply, bool, error) {
+	reply, reusable, err := c.parseResponse(method)
+	if err != nil && c.source.left <= 0 {
+		err = errors.Join(c.source.err, err)
+	}
+	return reply, reusable, err
+}
+
+// parseResponse reads a response. Informational (1xx) responses are skipped. A response without a
+// length ends when the server closes the connection with a FIN.
+func (c *connection) parseResponse(method string) (Reply, bool, error) {
 	request := getRequest
 	if method != http.MethodGet {
 		request = &http.Request{Method: method}
 	}
 	response, err := http.ReadResponse(c.reader, request)
-	for err == nil && response.StatusCode < http.StatusOK {
+	for n := 0; err == nil && response.StatusCode < http.StatusOK; n++ {
+		if n == maxInformational {
+			return Reply{}, false, errHeadTooLarge
+		}
 		response, err = http.ReadResponse(c.reader, request)
 	}
 	if err != nil {
 		return Reply{}, false, err
 	}
-	reply := Reply{Status: response.StatusCode, Header: response.Header}
-	reply.Body, err = readBody(response)
-	if closeErr := response.Body.Close(); err == nil {
-		err = closeErr
+	reply := Reply{
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		Unframed: response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+	}
+	c.source.allow(maxBody+maxFraming, errTooLarge)
+	reply.Body, err = c.readBody(response)
+	if err == nil {
+		// After an error, Close would read the rest of the body.
+		err = response.Body.Close()
 	}
 	reusable := !response.Close && c.reader.Buffered() == 0
 	return reply, reusable, err
 }
 
+// initialBody is the size of the buffer for the first bytes of a body. The buffer
+// grows as bytes arrive, because a server may announce more than it sends.
+const initialBody = 4 << 10
+
 // readBody reads a body of at most maxBody bytes.
-func readBody(response *http.Response) ([]byte, error) {
+func (c *connection) readBody(response *http.Response) ([]byte, error) {
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
-	if n := response.ContentLength; n >= 0 && n <= maxBody {
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
+	announced := response.ContentLength
+	if announced > maxBody {
+		return nil, errTooLarge
+	}
+	reader := bodyReader{body: response.Body, limit: c.bodies}
+	defer reader.release()
+	if announced >= 0 && announced <= initialBody {
+		body := make([]byte, announced)
+		_, err := io.ReadFull(&reader, body)
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(&reader, maxBody+1))
 	if err == nil && len(body) > maxBody {
 		err = errTooLarge
 	}
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,8 +34,13 @@
 type Pool struct {
 	address string
 	dialer  Func
-	// probes counts the probes in progress of all pools of a Client.
+	// probes counts the probes in progress of all pools of a Client, and bodies
+	// bounds the bodies of their responses.
 	probes *sync.WaitGroup
+	bodies *bodyLimit
+
+	// namesRequests is set once a response of the server has named its request.
+	namesRequests atomic.Bool
 
 	mu   sync.Mutex
 	idle []*connection
@@ -54,8 +60,8 @@
 	slowest    time.Duration
 }
 
-func newPool(address string, limit int, dialer Func, probes *sync.WaitGroup) *Pool {
-	return &Pool{address: address, dialer: dialer, probes: probes, limit: limit}
+func newPool(address string, limit int, dialer Func, probes *sync.WaitGroup, bodies *bodyLimit) *Pool {
+	return &Pool{address: address, dialer: dialer, probes: probes, bodies: bodies, limit: limit}
 }
 
 // get returns an idle connection that the server has not closed, or opens one.
@@ -106,7 +112,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return newConnection(conn), nil
+	return newConnection(conn, p.bodies), nil
 }
 
 // reserve counts a connection that is about to be opened. It returns false if
--- a/fault/error.go
+++ b/fault/error.go
@@ -40,6 +40,9 @@
 	ReasonDraining Reason = "draining"
 	// ReasonDown: the server or host refused the connection.
 	ReasonDown Reason = "down"
+	// ReasonOwnerDown: the owner of the server refused the connection, because it
+	// has stopped. The server's next owner accepts work within a moment.
+	ReasonOwnerDown Reason = "owner_down"
 	// ReasonShed: the backend server rejected the request because of overload.
 	ReasonShed Reason = "shed"
 	// ReasonSilentConnection: the connection gave no answer although the server
@@ -70,7 +73,7 @@
 // and the server's next owner accepts work within a moment.
 func (r Reason) ConcernsOwner() bool {
 	switch r {
-	case ReasonNotOwner, ReasonTermLapsed, ReasonStopping:
+	case ReasonNotOwner, ReasonTermLapsed, ReasonStopping, ReasonOwnerDown:
 		return true
 	default:
 		return false
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"hyssophub/rules"
+	"hyssophub/work"
 )
 
 // origin is the source of an update.
@@ -30,7 +31,7 @@
 	case update.Full:
 		s.applyFull(update, now)
 		s.progress = update.Revision
-		s.caughtUp = s.caughtUp || from == fromPeer
+		s.caughtUp = s.caughtUp || from == fromStore || now.Sub(update.CheckedAt) <= maxStateAge
 	default:
 		s.applyChanges(update, from, now)
 		s.progress = max(s.progress, update.Revision)
@@ -111,7 +112,7 @@
 // applyChange applies one item to the tables. A registration that may return stays
 // in use until removeExpired removes it.
 func (s *Syncer) applyChange(item Item, now time.Time) {
-	switch c := s.source.Decode(item).(type) {
+	switch c := s.decode(item).(type) {
 	case nil:
 	case RulesChanged:
 		s.acceptRules(c.Set)
@@ -137,6 +138,27 @@
 	}
 }
 
+// decode converts an item. An item whose decoding panics is malformed; the decoding of
+// its deletion, which ignores the value, tells which instance it is about.
+func (s *Syncer) decode(item Item) Change {
+	var change Change
+	completed := false
+	work.Guard(s.onPanic, func() {
+		change = s.source.Decode(item)
+		completed = true
+	})
+	if completed {
+		return change
+	}
+	malformed := Malformed{Key: item.Key, Revision: item.Revision, Err: errPanicked}
+	work.Guard(s.onPanic, func() {
+		if removed, ok := s.source.Decode(Item{Key: item.Key, Revision: item.Revision, Deleted: true}).(ServerRemoved); ok {
+			malformed.ID = removed.ID
+		}
+	})
+	return malformed
+}
+
 func (s *Syncer) acceptRules(set rules.Set) {
 	if s.rules.Apply(set) {
 		s.log.Info().Uint64("version", set.Version).Int("routes", len(set.Routes)).Msg("rules in force")
--- a/feed/change.go
+++ b/feed/change.go
@@ -66,6 +66,9 @@
 	Revision uint64
 	// Full means that Items is the whole content of the store, not only changes.
 	Full bool
+	// CheckedAt is when the store was last known to hold nothing newer; zero if that
+	// is not known. Updates of the store itself do not set it.
+	CheckedAt time.Time
 }
 
 // ErrCompacted means that the store no longer has the changes after a revision, so
@@ -75,9 +78,8 @@
 // Source reads the store. Every error other than ErrCompacted means that the store
 // did not answer.
 type Source interface {
-	// Load returns the full state. Unless exact is set, registrations may be some
-	// seconds old, which is cheaper.
-	Load(ctx context.Context, exact bool) (Update, error)
+	// Load returns the full state.
+	Load(ctx context.Context) (Update, error)
 	// Wait returns the changes after a revision as soon as there are any, or no
 	// items after a time limit.
 	Wait(ctx context.Context, after uint64) (Update, error)
@@ -96,8 +98,14 @@
 	// Seeds returns the addresses of hosts to load the full state from if the store
 	// does not answer.
 	Seeds(now time.Time) []string
+	// Neighbours returns the addresses of the live hosts of the own zone in random
+	// order, and whether the local host precedes all of them.
+	Neighbours(now time.Time) (addresses []string, isFirst bool)
 	// Changes asks a host for the changes after a revision.
 	Changes(ctx context.Context, address string, after uint64) (Update, error)
+	// CheckedAt returns when the store was last known to hold nothing newer than the
+	// given revision; zero if that is not known.
+	CheckedAt(revision uint64) time.Time
 	// Suspect records that a call to a host failed.
 	Suspect(address string, now time.Time)
 	// ReportApplied records for the heartbeats the revision of the newest change
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -20,22 +20,22 @@
 type fakeSource struct {
 	decoder
 	mu    sync.Mutex
-	load  func(exact bool) (Update, error)
+	load  func() (Update, error)
 	wait  func(after uint64) (Update, error)
-	loads []bool
+	loads int
 	waits []uint64
 }
 
-func (p *fakeSource) Load(ctx context.Context, exact bool) (Update, error) {
+func (p *fakeSource) Load(ctx context.Context) (Update, error) {
 	p.mu.Lock()
-	p.loads = append(p.loads, exact)
+	p.loads++
 	load := p.load
 	p.mu.Unlock()
 	if load == nil {
 		<-ctx.Done()
 		return Update{}, ctx.Err()
 	}
-	return load(exact)
+	return load()
 }
 
 func (p *fakeSource) Wait(ctx context.Context, after uint64) (Update, error) {
@@ -53,15 +53,21 @@
 // fakePeers are Peers whose answers a test sets.
 type fakePeers struct {
 	recordedPeers
-	watch   bool
-	seeds   []string
-	newest  string
-	changes map[string]Update
+	watch bool
+	first bool
+	// together is set if all hosts start together.
+	together bool
+	seeds    []string
+	// neighbours are the hosts of the own zone.
+	neighbours []string
+	newest     string
+	changes    map[string]Update
 }
 
-func (c *fakePeers) ShouldWatch(time.Time) bool          { return c.watch }
-func (c *fakePeers) Seeds(time.Time) []string            { return c.seeds }
-func (c *fakePeers) NewestPeer(time.Time) (string, bool) { return c.newest, c.newest != "" }
+func (c *fakePeers) ShouldWatch(time.Time) bool            { return c.watch }
+func (c *fakePeers) Seeds(time.Time) []string              { return c.seeds }
+func (c *fakePeers) Neighbours(time.Time) ([]string, bool) { return c.neighbours, c.first }
+func (c *fakePeers) NewestPeer(time.Time) (string, bool)   { return c.newest, c.newest != "" }
 
 func (c *fakePeers) Changes(_ context.Context, address string, _ uint64) (Update, error) {
 	update, ok := c.changes[address]
@@ -75,8 +81,8 @@
 func follow(t *testing.T, p *fakeSource, c *fakePeers, duration time.Duration) (*fleet.Table, *rules.Table) {
 	t.Helper()
 	instances, routing := fleet.NewTable("a", 0), rules.NewTable(0)
-	syncer := NewSyncer(p, c, routing, instances, zerolog.Nop())
-	syncer.Start()
+	syncer := NewSyncer(p, c, routing, instances, zerolog.Nop(), nil)
+	syncer.Start(c.together)
 	time.Sleep(duration)
 	syncer.Close()
 	return instances, routing
@@ -89,7 +95,7 @@
 // from the first of the other hosts that answers.
 func TestStartWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &fakeSource{load: func(bool) (Update, error) { return Update{}, errDown }}
+		p := &fakeSource{load: func() (Update, error) { return Update{}, errDown }}
 		c := &fakePeers{seeds: []string{"gone", "there"}, changes: map[string]Update{
 			"there": {Items: items("rules@3 7\nserver/x@5 one"), Revision: 5, Full: true},
 		}}
@@ -99,18 +105,17 @@
 	})
 }
 
-// TestReloadAfterCompaction guards against an endless loop of loads: after a
-// compaction the state must be loaded with exact set, because a cached state may be
-// older than the compacted revision and lead to the same error again.
+// TestReloadAfterCompaction guards against a host that stays behind after a compaction:
+// the full state must be loaded again, once, and from the store, because the hosts that
+// it could ask may be as far behind.
 func TestReloadAfterCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &fakeSource{
-			load: func(exact bool) (Update, error) {
-				if exact {
-					return Update{Items: items("rules@9 8"), Revision: 20}, nil
-				}
-				return Update{Items: items("rules@3 7"), Revision: 5}, nil
-			},
+		p := &fakeSource{}
+		p.load = func() (Update, error) {
+			if p.loads > 1 {
+				return Update{Items: items("rules@9 8"), Revision: 20}, nil
+			}
+			return Update{Items: items("rules@3 7"), Revision: 5}, nil
 		}
 		p.wait = func(after uint64) (Update, error) {
 			if after < 20 {
@@ -120,7 +125,7 @@
 			return Update{Revision: after}, nil
 		}
 		_, routing := follow(t, p, &fakePeers{watch: true}, 3*time.Second)
-		require.Equal(t, []bool{false, true}, p.loads)
+		require.Equal(t, 2, p.loads)
 		require.EqualValues(t, 8, routing.View().Set.Version)
 	})
 }
@@ -131,13 +136,13 @@
 func TestFollowPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeSource{
-			load: func(bool) (Update, error) { return Update{Items: items("rules@3 7"), Revision: 5}, nil },
+			load: func() (Update, error) { return Update{Items: items("rules@3 7"), Revision: 5}, nil },
 			wait: func(after uint64) (Update, error) { return Update{Revision: after}, nil },
 		}
 		c := &fakePeers{newest: "peer", changes: map[string]Update{"peer": {Items: items("rules@9 8"), Revision: 9}}}
 		_, routing := follow(t, p, c, 10*time.Second)
-		require.Len(t, p.loads, 1)
-		require.Len(t, p.waits, 1)
+		require.Equal(t, 1, p.loads)
+		require.Empty(t, p.waits)
 		require.EqualValues(t, 8, routing.View().Set.Version)
 	})
 }
@@ -147,7 +152,7 @@
 func TestStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeSource{
-			load: func(bool) (Update, error) { return Update{Items: items("rules@3 7\nserver/x@5 one"), Revision: 5}, nil },
+			load: func() (Update, error) { return Update{Items: items("rules@3 7\nserver/x@5 one"), Revision: 5}, nil },
 			wait: func(uint64) (Update, error) { return Update{}, errDown },
 		}
 		instances, routing := follow(t, p, &fakePeers{watch: true}, 30*time.Second)
@@ -156,3 +161,59 @@
 		require.Less(t, len(p.waits), 40)
 	})
 }
+
+// TestStartFromNeighbours guards against hosts that all load the full state from the
+// store when they start together, and against a restarted host that uses servers or
+// rules again which the others have seen leave: it must rely on a neighbour only if that
+// one has checked its state with the store, and take the newest state otherwise.
+func TestStartFromNeighbours(t *testing.T) {
+	const behind, current = "rules@3 7\nserver/x@5 one", "rules@9 8\nserver/y@8 one"
+	for _, c := range []struct {
+		name string
+		// checked is the age of the neighbour's last check; negative means never.
+		checked    time.Duration
+		neighbours map[string]string
+		isFirst    bool
+		restart    bool
+		storeDown  bool
+		loads      int
+		version    uint64
+	}{
+		{name: "checked neighbour", checked: time.Second, neighbours: map[string]string{"n": current}, loads: 0, version: 8},
+		{name: "neighbour behind", checked: time.Minute, neighbours: map[string]string{"n": behind}, loads: 1, version: 8},
+		{name: "neighbour never checked", checked: -1, neighbours: map[string]string{"n": behind}, loads: 1, version: 8},
+		{name: "neighbours without a state", neighbours: map[string]string{"n": ""}, isFirst: true, loads: 1, version: 8},
+		{name: "store down, hosts of different ages", checked: time.Minute, neighbours: map[string]string{"m": current, "n": behind}, storeDown: true, loads: 1, version: 8},
+		{name: "restart", restart: true, checked: time.Second, neighbours: map[string]string{"n": behind}, loads: 1, version: 8},
+		{name: "no neighbours", isFirst: true, loads: 1, version: 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &fakeSource{load: func() (Update, error) {
+					if c.storeDown {
+						return Update{}, errDown
+					}
+					return Update{Items: items(current), Revision: 9}, nil
+				}}
+				peers := &fakePeers{first: c.isFirst, together: !c.restart, changes: make(map[string]Update)}
+				for name, state := range c.neighbours {
+					peers.neighbours, peers.seeds = append(peers.neighbours, name), append(peers.seeds, name)
+					update := Update{Items: items(state), Full: true}
+					for _, item := range update.Items {
+						update.Revision = max(update.Revision, item.Revision)
+					}
+					if c.checked >= 0 {
+						update.CheckedAt = time.Now().Add(-c.checked)
+					}
+					peers.changes[name] = update
+				}
+				_, routing := follow(t, p, peers, 4*time.Second)
+				require.GreaterOrEqual(t, p.loads, c.loads)
+				if !c.storeDown {
+					require.Equal(t, c.loads, p.loads)
+				}
+				require.Equal(t, c.version, routing.View().Set.Version)
+			})
+		})
+	}
+}
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -15,6 +15,7 @@
 
 	"hyssophub/fleet"
 	"hyssophub/rules"
+	"hyssophub/work"
 )
 
 // TestScripts runs the scripts in testdata against a Syncer. Their comments name
@@ -37,6 +38,8 @@
 	fleet  *fleet.Table
 	rules  *rules.Table
 	peers  *recordedPeers
+	// onPanic is set once a script expects a panic.
+	onPanic func(work.Panic)
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -55,9 +58,13 @@
 	}
 	switch d.Cmd {
 	case "new":
+		s.onPanic = nil
+		if d.HasArg("panics") {
+			s.onPanic = func(work.Panic) {}
+		}
 		s.now = s.start
 		s.fleet, s.rules, s.peers = fleet.NewTable("a", 0), rules.NewTable(0), &recordedPeers{}
-		s.syncer = NewSyncer(decoder{}, s.peers, s.rules, s.fleet, zerolog.Nop())
+		s.syncer = NewSyncer(decoder{}, s.peers, s.rules, s.fleet, zerolog.Nop(), s.onPanic)
 	case "load":
 		s.syncer.apply(Update{Items: items(d.Input), Revision: revision, Full: true}, fromStore, s.now)
 	case "changes":
@@ -135,7 +142,7 @@
 // zone/NAME and server/ID.
 type decoder struct{}
 
-func (decoder) Load(context.Context, bool) (Update, error)   { return Update{}, nil }
+func (decoder) Load(context.Context) (Update, error)         { return Update{}, nil }
 func (decoder) Wait(context.Context, uint64) (Update, error) { return Update{}, nil }
 
 func (decoder) Decode(item Item) Change {
@@ -148,6 +155,8 @@
 		return ZoneChanged{Zone: name, Out: !item.Deleted}
 	case item.Deleted:
 		return ServerRemoved{ID: name, Revision: item.Revision}
+	case string(item.Value) == "panic":
+		panic(item.Key)
 	case string(item.Value) == "bad":
 		return Malformed{Key: item.Key, ID: name, Revision: item.Revision, Err: errors.New("bad")}
 	default:
@@ -161,12 +170,14 @@
 	announced int
 }
 
-func (*recordedPeers) ShouldWatch(time.Time) bool          { return true }
-func (*recordedPeers) NewestPeer(time.Time) (string, bool) { return "", false }
-func (*recordedPeers) Seeds(time.Time) []string            { return nil }
-func (*recordedPeers) Suspect(string, time.Time)           {}
-func (*recordedPeers) Progress(revision uint64) uint64     { return revision }
-func (t *recordedPeers) Announce()                         { t.announced++ }
+func (*recordedPeers) ShouldWatch(time.Time) bool            { return true }
+func (*recordedPeers) NewestPeer(time.Time) (string, bool)   { return "", false }
+func (*recordedPeers) Seeds(time.Time) []string              { return nil }
+func (*recordedPeers) Neighbours(time.Time) ([]string, bool) { return nil, true }
+func (*recordedPeers) CheckedAt(uint64) time.Time            { return time.Time{} }
+func (*recordedPeers) Suspect(string, time.Time)             {}
+func (*recordedPeers) Progress(revision uint64) uint64       { return revision }
+func (t *recordedPeers) Announce()                           { t.announced++ }
 
 func (*recordedPeers) Changes(context.Context, string, uint64) (Update, error) { return Update{}, nil }
 
--- a/feed/keeper.go
+++ b/feed/syncer.go
@@ -10,6 +10,7 @@
 
 	"hyssophub/fleet"
 	"hyssophub/rules"
+	"hyssophub/work"
 )
 
 const (
@@ -41,6 +42,11 @@
 	rules  *rules.Table
 	fleet  *fleet.Table
 	log    zerolog.Logger
+	// onPanic, if not nil, is called with the panic of a step, which then counts as
+	// a failed call.
+	onPanic func(work.Panic)
+	// together is set if all hosts of the tier start for the first time.
+	together bool
 	// notified wakes followPeers after a notification from a peer.
 	notified chan struct{}
 
@@ -48,9 +54,8 @@
 	// fields down to expiring.
 	mu      sync.Mutex
 	history *history
-	// caughtUp says that the tables are up to date: changes from any source or a
-	// full update from a peer was applied. Until then the host watches the store
-	// itself, since the first load may be some seconds old.
+	// caughtUp says that a full state was applied that was up to date. Until then
+	// the host watches the store itself.
 	caughtUp bool
 	// progress is the store revision up to which all changes are applied. The next
 	// watch starts after it.
@@ -77,22 +82,27 @@
 	until    time.Time
 }
 
-// NewSyncer returns a Syncer, which does nothing until Start is called.
-func NewSyncer(source Source, peers Peers, routing *rules.Table, instances *fleet.Table, log zerolog.Logger) *Syncer {
+// NewSyncer returns a Syncer, which does nothing until Start is called. onPanic, if
+// not nil, is called with panics, which then do not end the process.
+func NewSyncer(source Source, peers Peers, routing *rules.Table, instances *fleet.Table, log zerolog.Logger, onPanic func(work.Panic)) *Syncer {
 	return &Syncer{
 		source:   source,
 		peers:    peers,
 		rules:    routing,
 		fleet:    instances,
 		log:      log,
+		onPanic:  onPanic,
 		notified: make(chan struct{}, 1),
 		history:  newHistory(),
 		expiring: make(map[string]expiry),
 	}
 }
 
-// Start starts the goroutine that keeps the tables up to date.
-func (s *Syncer) Start() {
+// Start starts the goroutine that keeps the tables up to date. together says that all
+// hosts of the tier start for the first time, so that none has a state yet and nobody
+// waits for them.
+func (s *Syncer) Start(together bool) {
+	s.together = together
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.done.Go(func() { s.follow(ctx) })
@@ -120,31 +130,36 @@
 func (s *Syncer) ChangesAfter(revision uint64) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history.after(revision)
+	update := s.history.after(revision)
+	update.CheckedAt = s.peers.CheckedAt(s.history.revision)
+	return update
 }
 
 // follow loads the full state and then applies its changes until ctx ends.
 func (s *Syncer) follow(ctx context.Context) {
-	loaded, exact := false, false
+	loaded := false
 	pause := retryMin
 	for ctx.Err() == nil {
-		s.removeExpired(time.Now())
-		var err error
-		switch {
-		case !loaded:
-			err = s.load(ctx, exact)
-			loaded = err == nil
-		case !s.isCaughtUp() || s.peers.ShouldWatch(time.Now()):
-			err = s.watch(ctx)
-		default:
-			s.followPeers(ctx)
-		}
+		err := errPanicked
+		work.Guard(s.onPanic, func() {
+			s.removeExpired(time.Now())
+			switch {
+			case !loaded:
+				err = s.load(ctx)
+				loaded = err == nil
+			case !s.isCaughtUp() || s.peers.ShouldWatch(time.Now()):
+				err = s.watch(ctx)
+			default:
+				s.followPeers(ctx)
+				err = nil
+			}
+		})
 		switch {
 		case err == nil:
 			pause = retryMin
 		case errors.Is(err, ErrCompacted):
 			s.log.Warn().Uint64("after", s.progress).Msg("store revision compacted, reloading the full state")
-			loaded, exact = false, true
+			loaded = false
 		default:
 			s.recordFailure(err, time.Now())
 			s.fetchFromPeer(ctx)
@@ -154,25 +169,8 @@
 	}
 }
 
-// load reads the full state from the store, or from another host if the store does
-// not answer. It returns the error of the store if neither answers.
-func (s *Syncer) load(ctx context.Context, exact bool) error {
-	update, err := s.source.Load(ctx, exact)
-	if err == nil {
-		update.Full = true
-		s.apply(update, fromStore, time.Now())
-		return nil
-	}
-	for _, address := range s.peers.Seeds(time.Now()) {
-		update, peerErr := s.peerChanges(ctx, address, 0)
-		if peerErr == nil && len(update.Items) > 0 {
-			s.log.Info().Err(err).Str("peer", address).Msg("full state loaded from another host")
-			s.apply(update, fromPeer, time.Now())
-			return nil
-		}
-	}
-	return err
-}
+// errPanicked is the error of a step that ended with a panic.
+var errPanicked = errors.New("feed: step ended with a panic")
 
 func (s *Syncer) isCaughtUp() bool {
 	s.mu.Lock()
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -192,37 +192,50 @@
 // Ordinary differences between backend servers and their queues stay below it.
 const slowZoneFactor = 3.0
 
-// HealthyZones returns the availability zones that serve a service well, in no
-// particular order. Such a zone is reachable, has instances that accept new
-// requests, and its best instance is at most slowZoneFactor times as costly as the
-// best one in any zone.
-func (t *Table) HealthyZones(constraints Constraints, service string, now time.Time) []string {
+// ServableByZone returns for each availability zone the indexes of the services that it
+// serves well. Such a zone is reachable, has instances that accept new requests, and
+// its best instance is at most slowZoneFactor times as costly as the best one in any
+// zone.
+func (t *Table) ServableByZone(constraints Constraints, services []string, now time.Time) map[string][]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	servable := make(map[string][]int)
+	var costs []zoneCost
+	for i, service := range services {
+		costs = t.zoneCosts(constraints, service, now, costs[:0])
+		lowest := math.Inf(1)
+		for _, c := range costs {
+			lowest = min(lowest, c.cost)
+		}
+		for _, c := range costs {
+			if c.cost <= slowZoneFactor*lowest {
+				servable[c.zone] = append(servable[c.zone], i)
+			}
+		}
+	}
+	return servable
+}
+
+// zoneCost is the lowest cost of an instance of a service in a zone.
+type zoneCost struct {
+	zone string
+	cost float64
+}
+
+// zoneCosts appends the reachable zones with eligible instances of a service to costs.
+func (t *Table) zoneCosts(constraints Constraints, service string, now time.Time, costs []zoneCost) []zoneCost {
 	rule, _ := constraints.View.Service(service)
-	var (
-		zones   []string
-		costs   []float64
-		refusal Refusal
-		lowest  = math.Inf(1)
-	)
+	var refusal Refusal
 	for _, s := range t.services[service] {
 		if t.unreachable[s.Zone] || !t.isEligible(constraints, rule, s, nil, now, &refusal) {
 			continue
 		}
 		cost := t.cost(s, now)
-		lowest = min(lowest, cost)
-		if at := slices.Index(zones, s.Zone); at >= 0 {
-			costs[at] = min(costs[at], cost)
+		if at := slices.IndexFunc(costs, func(c zoneCost) bool { return c.zone == s.Zone }); at >= 0 {
+			costs[at].cost = min(costs[at].cost, cost)
 			continue
 		}
-		zones, costs = append(zones, s.Zone), append(costs, cost)
-	}
-	healthy := zones[:0]
-	for i, zone := range zones {
-		if costs[i] <= slowZoneFactor*lowest {
-			healthy = append(healthy, zone)
-		}
+		costs = append(costs, zoneCost{zone: s.Zone, cost: cost})
 	}
-	return healthy
+	return costs
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -60,7 +60,10 @@
 	case "choose":
 		return s.choose(t, d)
 	case "zones":
-		zones := s.table.HealthyZones(Constraints{View: s.rules.View(), Out: s.rules.View().OutZones}, "one", s.now)
+		var zones []string
+		for zone := range s.table.ServableByZone(Constraints{View: s.rules.View(), Out: s.rules.View().OutZones}, []string{"one"}, s.now) {
+			zones = append(zones, zone)
+		}
 		slices.Sort(zones)
 		return fmt.Sprint(zones)
 	case "observe":
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -111,6 +111,19 @@
 	}
 }
 
+// CountInZone returns how many of the services have instances in the zone of the host.
+func (t *Table) CountInZone(services []string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, name := range services {
+		if slices.ContainsFunc(t.services[name], func(s *server) bool { return s.Zone == t.zone }) {
+			count++
+		}
+	}
+	return count
+}
+
 // Addresses returns the set of addresses of all instances.
 func (t *Table) Addresses() map[string]bool {
 	t.mu.Lock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +28,7 @@
 	start time.Time
 	now   time.Time
 	table *Table
+	out   strings.Builder
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -38,7 +40,7 @@
 	switch d.Cmd {
 	case "self":
 		s.now = s.start
-		s.table = NewTable(Host{Name: "m", Zone: "a"}, s.now)
+		s.table = NewTable(Host{Name: "m", Zone: "a", Weight: 400}, s.now)
 	case "receive":
 		// The first line is the sender. The other lines are the hosts that the
 		// heartbeat carries.
@@ -51,7 +53,19 @@
 				hb.Others = append(hb.Others, r)
 			}
 		}
-		s.table.Receive(hb, s.now)
+		reply := s.table.Receive(hb, s.now)
+		if len(reply.To) > 0 {
+			return fmt.Sprintf("reply to %s with %v", reply.To[0], names(reply.Heartbeat.Others))
+		}
+	case "speed":
+		for _, a := range d.CmdArgs {
+			weight, changed := s.table.RecordSpeed(duration(t, a.Key))
+			if changed {
+				_, _ = fmt.Fprintf(&s.out, "weight %d\n", weight)
+			}
+		}
+		defer s.out.Reset()
+		return s.out.String()
 	case "zone-failure":
 		for range 4 {
 			s.table.RecordZoneFailure(d.CmdArgs[0].Key, s.now)
@@ -94,13 +108,27 @@
 			r.Revision, _ = strconv.ParseUint(value, 10, 64)
 		case "incarnation":
 			r.Incarnation, _ = strconv.ParseUint(value, 10, 64)
+		case "beat":
+			r.HeartbeatAddress = value
 		case "leaving":
 			r.Leaving = true
+		case "joining":
+			r.Joining = true
 		}
 	}
 	return r
 }
 
+// names returns the names of hosts in alphabetical order.
+func names(records []Record) []string {
+	var list []string
+	for _, r := range records {
+		list = append(list, r.Name)
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (s *script) show() string {
 	total, inZone := s.table.Counts(s.now)
 	var available []string
@@ -138,14 +166,17 @@
 		}
 	}
 	for range rounds {
-		now = now.Add(250 * time.Millisecond)
+		now = now.Add(heartbeatInterval)
 		for _, table := range tables {
-			inZone, crossZone := table.NextHeartbeats(now, 1)
-			for _, m := range []Datagram{inZone, crossZone, {Heartbeat: crossZone.Heartbeat, To: []string{"0-00"}}} {
+			for _, m := range table.NextRound(now, []string{"0-00"}) {
 				for _, to := range m.To {
-					tables[to].Receive(m.Heartbeat, now)
+					reply := tables[to].Receive(m.Heartbeat, now)
+					for _, newcomer := range reply.To {
+						tables[newcomer].Receive(reply.Heartbeat, now)
+					}
 				}
 			}
+			table.Expire(now)
 		}
 	}
 	for name, table := range tables {
--- a/gossip/host.go
+++ b/gossip/host.go
@@ -15,7 +15,8 @@
 	// heartbeats.
 	Address          string
 	HeartbeatAddress string
-	// Weight is the processor share in thousandths of a core.
+	// Weight is the processor share in thousandths of a core, less while the host is
+	// slower than usual.
 	Weight int
 	// Incarnation tells two runs of a host apart. It is greater for later runs
 	// unless the clock was set back.
@@ -29,6 +30,12 @@
 	Watching bool
 	// Leaving means that the host is stopping.
 	Leaving bool
+	// ZoneSize is the number of hosts in its zone, itself included, that the host
+	// knows. Other zones know only some of them at any time.
+	ZoneSize int
+	// Joining means that the host has started a few seconds ago and may not know its
+	// neighbours yet.
+	Joining bool
 }
 
 // Record is the table entry of a host. Its times are on the clock of the local host.
--- a/gossip/reach.go
+++ b/gossip/reach.go
@@ -12,6 +12,14 @@
 	// unreachableTime is how long a zone is considered unreachable after the last
 	// failure. After that, requests probe it again.
 	unreachableTime = 3 * time.Second
+	// A zone is also considered unreachable if no heartbeat of any of its hosts and no
+	// answer from it is newer than silentTime, and silentSpreadTime for each round in
+	// which heartbeats spread through a zone. Hosts of a large tier each send too few
+	// requests to another zone to notice a partition by them. After forgetTime the
+	// hosts of the zone may have been removed for good.
+	silentTime       = 2 * time.Second
+	silentSpreadTime = 500 * time.Millisecond
+	forgetTime       = time.Minute
 )
 
 // reachability holds the outcome of recent exchanges with an availability zone:
@@ -20,6 +28,22 @@
 	lastAnswer       time.Time
 	failures         int
 	unreachableUntil time.Time
+	// lastHeartbeat is the newest heartbeat of any host of the zone.
+	lastHeartbeat time.Time
+}
+
+// isUnreachable reports whether a zone other than the own one is considered
+// unreachable.
+func (t *Table) isUnreachable(zone string, r *reachability, now time.Time) bool {
+	if zone == t.self.Zone {
+		return false
+	}
+	if now.Before(r.unreachableUntil) {
+		return true
+	}
+	silent := now.Sub(r.lastHeartbeat)
+	limit := silentTime + time.Duration(t.spreadRounds)*silentSpreadTime
+	return !r.lastHeartbeat.IsZero() && silent > limit && silent < forgetTime && now.Sub(r.lastAnswer) > limit
 }
 
 // RecordZoneSuccess records that a host or backend server in an availability zone
@@ -28,8 +52,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.zoneReachability(zone)
-	wasUnreachable := now.Before(r.unreachableUntil)
-	*r = reachability{lastAnswer: now}
+	wasUnreachable := t.isUnreachable(zone, r, now)
+	*r = reachability{lastAnswer: now, lastHeartbeat: r.lastHeartbeat}
 	return wasUnreachable
 }
 
@@ -47,7 +71,7 @@
 	if r.failures < failureLimit || now.Sub(r.lastAnswer) < failureWindow {
 		return false
 	}
-	wasUnreachable := now.Before(r.unreachableUntil)
+	wasUnreachable := t.isUnreachable(zone, r, now)
 	r.unreachableUntil = now.Add(unreachableTime)
 	return !wasUnreachable
 }
@@ -69,7 +93,7 @@
 	defer t.mu.Unlock()
 	unreachable := make(map[string]bool)
 	for zone, r := range t.zones {
-		if now.Before(r.unreachableUntil) {
+		if t.isUnreachable(zone, r, now) {
 			unreachable[zone] = true
 		}
 	}
@@ -81,16 +105,16 @@
 func (t *Table) HasUnreachableZone(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range t.zones {
-		if now.Before(r.unreachableUntil) {
+	for zone, r := range t.zones {
+		if t.isUnreachable(zone, r, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// IsIsolated reports whether all other availability zones that exchanges were ever
-// recorded for are considered unreachable. It is false if there are none.
+// IsIsolated reports whether all other availability zones that are known from exchanges
+// or heartbeats are considered unreachable. It is false if there are none.
 func (t *Table) IsIsolated(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -100,7 +124,7 @@
 			continue
 		}
 		others++
-		if !now.Before(r.unreachableUntil) {
+		if !t.isUnreachable(zone, r, now) {
 			return false
 		}
 	}
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,15 +10,18 @@
 // Timeouts and backoff of the failure detector.
 const (
 	// sameZoneTimeout is the age of the newest heartbeat at which a host of the own
-	// availability zone is no longer live. These hosts send directly; the timeout
-	// covers the loss of two heartbeats.
+	// availability zone is no longer live, if every host sends to every other one. It
+	// covers the loss of two heartbeats. Above fanOut hosts, spreadTimeout is added
+	// for each round in which heartbeats spread through the zone.
 	sameZoneTimeout = 1300 * time.Millisecond
-	// otherZoneTimeout is the same for hosts of other availability zones, whose
-	// heartbeats mostly arrive through other hosts.
-	otherZoneTimeout = 4 * time.Second
+	spreadTimeout   = 1200 * time.Millisecond
+	// otherZoneTimeout and otherSpreadTimeout are the same for hosts of other
+	// availability zones, whose heartbeats mostly arrive through other hosts.
+	otherZoneTimeout   = 4 * time.Second
+	otherSpreadTimeout = 2 * time.Second
 	// retentionTime is how long after its newest heartbeat a host still counts among
 	// those that share the limits of the backend servers, because it may still be
-	// serving.
+	// serving. otherSpreadTimeout is added as above.
 	retentionTime = 10 * time.Second
 	// storeContactTimeout is the age of the store's last answer at which a host no
 	// longer counts as a watcher: the longest wait of a watch and one heartbeat.
@@ -37,31 +39,30 @@
 	// minOtherWatchers is the number of other hosts that must watch the store before
 	// a host relies on them, so that one of them may fail unnoticed.
 	minOtherWatchers = 2
-	// inZoneSample is the number of hosts of other zones that a heartbeat to the own
-	// zone carries, and crossZoneSample the number of hosts of the own zone that a
-	// heartbeat to another zone carries. sameSideSample is the number of hosts added
-	// from the zones that the heartbeat is sent to. At about 60 bytes per host a
-	// heartbeat fits into one datagram. Two thirds of a zone of 17 hosts in each
-	// heartbeat keep the other zones' view of it fresh.
-	inZoneSample    = 6
-	crossZoneSample = 12
-	sameSideSample  = 2
 )
 
 // Table holds the hosts known from heartbeats and the reachability of the
 // availability zones. In the lock order, its lock comes after that of package relay
 // and before that of package fleet; no other lock is acquired while it is held.
 type Table struct {
-	mu    sync.Mutex
-	self  Record
-	hosts map[string]*Record
+	mu   sync.Mutex
+	self Record
+	// started is when the local host started.
+	started time.Time
+	hosts   map[string]*Record
 	// zones holds the reachability by availability zone.
 	zones map[string]*reachability
+	// fullWeight is the weight of the local host at its best speed.
+	fullWeight int
+	speed      speed
+	// spreadRounds is the number of rounds, beyond the first, in which heartbeats
+	// spread through the own zone.
+	spreadRounds int
 }
 
 // NewTable returns a table that contains only the local host.
 func NewTable(self Host, now time.Time) *Table {
-	return &Table{self: Record{Host: self, LastSeen: now}, hosts: make(map[string]*Record), zones: make(map[string]*reachability)}
+	return &Table{self: Record{Host: self, LastSeen: now}, started: now, fullWeight: self.Weight, hosts: make(map[string]*Record), zones: make(map[string]*reachability)}
 }
 
 // UpdateSelf calls change, under the lock, on the record of the local host.
@@ -71,16 +72,27 @@
 	change(&t.self)
 }
 
-// Receive merges a heartbeat that arrived now.
-func (t *Table) Receive(hb Heartbeat, now time.Time) {
+// Receive merges a heartbeat that arrived now. It returns the reply to send to a
+// starting host whose heartbeat arrives here for the first time, and a Datagram
+// without addresses otherwise.
+func (t *Table) Receive(hb Heartbeat, now time.Time) Datagram {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sender := hb.Sender
+	if sender.Name == t.self.Name {
+		return Datagram{}
+	}
+	known, ok := t.hosts[sender.Name]
+	isFirst := !ok || known.lastDirect.IsZero() || known.Incarnation != sender.Incarnation
 	sender.LastSeen, sender.lastDirect = now, now
 	t.merge(sender)
 	for _, r := range hb.Others {
 		t.merge(r)
 	}
+	if !isFirst || !sender.Joining || sender.HeartbeatAddress == "" {
+		return Datagram{}
+	}
+	return t.welcome(t.hosts[sender.Name], now)
 }
 
 // merge replaces the known record of a host if the given one is newer.
@@ -88,6 +100,9 @@
 	if r.Name == t.self.Name {
 		return
 	}
+	if zone := t.zoneReachability(r.Zone); r.LastSeen.After(zone.lastHeartbeat) {
+		zone.lastHeartbeat = r.LastSeen
+	}
 	known, ok := t.hosts[r.Name]
 	switch {
 	case !ok:
@@ -116,24 +131,51 @@
 
 // isLive reports whether a host is considered to be serving.
 func (t *Table) isLive(r *Record, now time.Time) bool {
-	timeout := otherZoneTimeout
+	timeout := otherZoneTimeout + time.Duration(t.spreadRounds)*otherSpreadTimeout
 	if r.Zone == t.self.Zone {
-		timeout = sameZoneTimeout
+		timeout = sameZoneTimeout + time.Duration(t.spreadRounds)*spreadTimeout
 	}
 	return !r.Leaving && now.Sub(r.LastSeen) < timeout
 }
 
+// updateZone sets the size of the own zone and, by it, spreadRounds.
+func (t *Table) updateZone() {
+	neighbours := 0
+	for _, r := range t.hosts {
+		if t.isSameZone(r) {
+			neighbours++
+		}
+	}
+	t.self.ZoneSize = neighbours + 1
+	t.spreadRounds = 0
+	for reached := fanOut; reached < neighbours; reached *= fanOut {
+		t.spreadRounds++
+	}
+}
+
 // Expire removes the hosts whose newest heartbeat is older than retentionTime and
-// returns the number of hosts that may be serving, the local one included.
+// returns the number of hosts that may be serving, the local one included. Of other
+// zones it counts as many hosts as any host there knows.
 func (t *Table) Expire(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	known, sizes := make(map[string]int), make(map[string]int)
 	for name, r := range t.hosts {
-		if now.Sub(r.LastSeen) > retentionTime {
+		if now.Sub(r.LastSeen) > retentionTime+time.Duration(t.spreadRounds)*otherSpreadTimeout {
 			delete(t.hosts, name)
+			continue
 		}
+		known[r.Zone]++
+		sizes[r.Zone] = max(sizes[r.Zone], r.ZoneSize)
 	}
-	return len(t.hosts) + 1
+	t.updateZone()
+	total := t.self.ZoneSize
+	for zone, count := range known {
+		if zone != t.self.Zone {
+			total += max(count, sizes[zone])
+		}
+	}
+	return total
 }
 
 // Counts returns the number of live hosts and how many of them are in the own
@@ -211,6 +253,24 @@
 	return progress
 }
 
+// CheckedAt returns the last time at which the store held nothing newer than a
+// revision, as far as known: the last answer of the store to a host whose newest change
+// is not newer. Zero means that none is known.
+func (t *Table) CheckedAt(revision uint64) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var checked time.Time
+	if t.self.Revision <= revision {
+		checked = t.self.StoreContact
+	}
+	for _, r := range t.hosts {
+		if r.Revision <= revision && r.StoreContact.After(checked) {
+			checked = r.StoreContact
+		}
+	}
+	return checked
+}
+
 func (t *Table) isSameZone(r *Record) bool { return r.Zone == t.self.Zone }
 
 // isAvailable reports whether a host is live and not suspect.
@@ -262,67 +322,6 @@
 	r.failures++
 }
 
-// Datagram is a heartbeat with the UDP addresses that it is sent to.
-type Datagram struct {
-	Heartbeat Heartbeat
-	To        []string
-}
-
-// NextHeartbeats returns the heartbeats to send: inZone to all hosts of the own
-// availability zone, carrying mostly hosts of other zones, and crossZone to at most
-// maxCrossZone hosts of other zones, carrying mostly hosts of the own zone. Each also
-// carries sameSideSample hosts of the zones that it is sent to, so that a host that
-// starts with only a seed in another zone finds the hosts of its own zone.
-func (t *Table) NextHeartbeats(now time.Time, maxCrossZone int) (inZone, crossZone Datagram) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var sameZone, otherZones []*Record
-	for _, r := range t.hosts {
-		if t.isSameZone(r) {
-			sameZone = append(sameZone, r)
-		} else {
-			otherZones = append(otherZones, r)
-		}
-	}
-	shuffle(sameZone)
-	shuffle(otherZones)
-	inZone = Datagram{Heartbeat: t.heartbeat(now, sample{otherZones, inZoneSample}, sample{sameZone, sameSideSample})}
-	for _, r := range sameZone {
-		inZone.To = append(inZone.To, r.HeartbeatAddress)
-	}
-	crossZone = Datagram{Heartbeat: t.heartbeat(now, sample{sameZone, crossZoneSample}, sample{otherZones, sameSideSample})}
-	for _, r := range otherZones[:min(maxCrossZone, len(otherZones))] {
-		crossZone.To = append(crossZone.To, r.HeartbeatAddress)
-	}
-	return inZone, crossZone
-}
-
-// sample is a list of hosts of which a heartbeat carries the first size live ones.
-type sample struct {
-	hosts []*Record
-	size  int
-}
-
-// heartbeat returns a heartbeat that carries the given samples of live hosts.
-func (t *Table) heartbeat(now time.Time, samples ...sample) Heartbeat {
-	hb := Heartbeat{Sender: t.self}
-	hb.Sender.LastSeen = now
-	for _, s := range samples {
-		remaining := s.size
-		for _, r := range s.hosts {
-			if remaining > 0 && t.isLive(r, now) {
-				hb.Others = append(hb.Others, *r)
-				remaining--
-			}
-		}
-	}
-	return hb
-}
-
-func shuffle(list []*Record) {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-}
-
 // Addresses returns the addresses of live hosts that are not suspect, those of the
 // own availability zone first.
 func (t *Table) Addresses(now time.Time) []string {
--- a/kvhttp/client.go
+++ b/kvhttp/client.go
@@ -34,6 +34,9 @@
 // callTimeout bounds each call to the platform.
 const callTimeout = 2 * time.Second
 
+// maxHeaderBytes bounds the head of a response.
+const maxHeaderBytes = 64 << 10
+
 // Client implements store.KV and store.HostLister over HTTP.
 type Client struct {
 	base      string
@@ -46,7 +49,7 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base:      "http://" + address,
-		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}},
+		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 		watchWait: DefaultWatchWait,
 	}
 }
--- a/once/engine.go
+++ b/once/engine.go
@@ -54,6 +54,9 @@
 	// WritesPerSecond is the number of store writes a second that all hosts
 	// together may make for requests.
 	WritesPerSecond float64
+	// OnPanic, if not nil, is called with the panic of a job, which then ends only
+	// the job.
+	OnPanic func(work.Panic)
 }
 
 // Ports are the interfaces that an Engine needs from other packages.
@@ -113,7 +116,7 @@
 		limiter: rate.NewLimiter(rate.Limit(options.WritesPerSecond), storeCallBurst),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.pool = work.NewPool(options.Workers, options.Queue, e.handle)
+	e.pool = work.NewPool(options.Workers, options.Queue, e.handle, work.Recovery[job]{Report: options.OnPanic})
 	return e
 }
 
@@ -141,14 +144,14 @@
 	if err := e.admit(r, now); err != nil {
 		return Result{}, err
 	}
-	timer := time.NewTimer(time.Until(request.Deadline))
+	timer := time.NewTimer(work.TimerDelay(time.Until(request.Deadline)))
 	defer timer.Stop()
 	select {
 	case <-r.done:
 	case <-timer.C:
 		e.performStep(r, e.table.expire(r, time.Now()))
 	}
-	time.AfterFunc(time.Until(request.Deadline)+lateResultPeriod, func() { e.table.discard(r) })
+	time.AfterFunc(work.TimerDelay(time.Until(request.Deadline)+lateResultPeriod), func() { e.table.discard(r) })
 	return r.outcome.result, r.outcome.err
 }
 
@@ -211,7 +214,7 @@
 	if r.digest != digest(request) {
 		return Result{}, fault.New(fault.NotRun{}, fault.ReasonConflict, "key %q was used with another service or text", request.Key)
 	}
-	timer := time.NewTimer(time.Until(request.Deadline))
+	timer := time.NewTimer(work.TimerDelay(time.Until(request.Deadline)))
 	defer timer.Stop()
 	select {
 	case <-r.done:
--- a/owner/engine.go
+++ b/owner/engine.go
@@ -58,6 +58,9 @@
 	// Publish is called with each change of a server that other hosts must be
 	// notified of. It may be nil and must not block.
 	Publish func(event.Event)
+	// OnPanic, if not nil, is called with the panic of a job, which then ends only
+	// the job.
+	OnPanic func(work.Panic)
 }
 
 const (
@@ -137,7 +140,7 @@
 		polling:     make(map[string]bool),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.pool = work.NewPool(options.Workers, queueLimit, e.run)
+	e.pool = work.NewPool(options.Workers, queueLimit, e.run, work.Recovery[job]{Report: options.OnPanic, End: e.endPanicked})
 	e.submitAfter(options.SweepInterval, shard.Urgent, sweepJob{})
 	return e
 }
@@ -214,7 +217,7 @@
 // submitAfter submits a job to the pool after a delay. The error of a closed
 // pool is ignored, because no work is left then.
 func (e *Engine) submitAfter(after time.Duration, class shard.Class, j job) {
-	time.AfterFunc(after, func() { _ = e.pool.Submit(class, j) })
+	time.AfterFunc(work.TimerDelay(after), func() { _ = e.pool.Submit(class, j) })
 }
 
 // scheduleWake schedules a reevaluation of a server; a zero time schedules
@@ -241,6 +244,20 @@
 	}
 }
 
+// endPanicked ends a job that panicked. Its sub-request may have run, and its slot is
+// free again. Periodic jobs continue.
+func (e *Engine) endPanicked(j job) {
+	switch j := j.(type) {
+	case dispatchJob:
+		e.complete(j.sub, shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonInternal}, 0)
+	case pollJob:
+		e.submitAfter(e.options.PollInterval, shard.Routine, j)
+	case sweepJob:
+		e.submitAfter(e.options.SweepInterval, shard.Urgent, j)
+	case reevaluateJob, deliverJob:
+	}
+}
+
 // send performs the last check before the dispatch, and then the exchange with
 // the server.
 func (e *Engine) send(j dispatchJob) {
--- a/owner/script_test.go
+++ b/owner/script_test.go
@@ -142,7 +142,10 @@
 		d.ScanArgs(t, "failed", &reason)
 		outcome = shard.Failed{Verdict: fault.MayHaveRun{}, Reason: fault.Reason(reason)}
 	}
-	_, effects := s.table.Complete(s.subs[id], outcome, s.duration(t, d, "took"), s.now)
+	result, effects := s.table.Complete(s.subs[id], outcome, s.duration(t, d, "took"), s.now)
+	if d.HasArg("stats") {
+		fmt.Fprintf(out, "usable %t\n", result.Stats.Usable)
+	}
 	s.printEffects(out, effects)
 }
 
--- a/owner/table.go
+++ b/owner/table.go
@@ -107,7 +107,9 @@
 	result := shard.Result{SubID: sub.ID, Server: sub.Server, Outcome: outcome, Took: took}
 	s, ok := t.servers[sub.Server]
 	if !ok {
-		result.Stats.Server = sub.Server
+		// The server has left this owner, and its next owner takes over within a
+		// moment. Senders would avoid a server that is reported as not usable.
+		result.Stats.Server, result.Stats.Usable = sub.Server, true
 		return result, Effects{}
 	}
 	published := s.recordOutcome(&sub, outcome, took, t.referenceLatency(s), now)
--- a/peer/client.go
+++ b/peer/client.go
@@ -45,12 +45,13 @@
 func NewClient(resolve func(host string) (string, bool)) *Client {
 	c := &Client{resolve: resolve, stubs: make(map[stubKey]peerpb.Peer)}
 	for i := range c.httpClients {
-		c.httpClients[i] = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}}
+		c.httpClients[i] = &http.Client{Transport: limitedTransport{&http.Transport{
+			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}}}
 	}
 	return c
 }
@@ -164,7 +165,7 @@
 // proves that the call did not arrive.
 func callError(host string, err error) error {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fault.New(fault.NotRun{}, fault.ReasonDown, "host %s: %w", host, err)
+		return fault.New(fault.NotRun{}, fault.ReasonOwnerDown, "host %s: %w", host, err)
 	}
 	return fault.New(fault.MayHaveRun{}, fault.ReasonConnection, "host %s: %w", host, err)
 }
--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hyssophub/gossip"
+	"hyssophub/peer/peerpb"
+	"hyssophub/relay"
+)
+
+// FuzzGossip guards against heartbeats that make the decoder or the host table panic,
+// or that replace the local host's own record.
+func FuzzGossip(f *testing.F) {
+	now := time.Unix(1000, 0)
+	sound, err := proto.Marshal(encodeGossip(gossip.Heartbeat{
+		Sender: gossip.Record{Host: gossip.Host{Name: "b1", Zone: "b", HeartbeatAddress: "10.0.0.1:1", Weight: 400, Revision: 7}, LastSeen: now},
+		Others: []gossip.Record{{Host: gossip.Host{Name: "a1", Zone: "a"}, LastSeen: now, StoreContact: now}},
+	}, now))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sound)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg peerpb.Pulse
+		if proto.Unmarshal(data, &msg) != nil {
+			return
+		}
+		table := gossip.NewTable(gossip.Host{Name: "self", Zone: "a"}, now)
+		for i := range 3 {
+			at := now.Add(time.Duration(i) * time.Second)
+			table.Receive(decodeGossip(&msg, at), at)
+			table.Expire(at)
+			table.ShouldWatch(at)
+			table.NewestHost(at)
+			table.NextRound(at, nil)
+			table.Announcement(at)
+		}
+		if self := table.Self(); self.Name != "self" || self.Zone != "a" {
+			t.Fatalf("own record replaced by %+v", self)
+		}
+	})
+}
+
+// FuzzCollect guards against messages of collections that make the decoders panic or
+// allocate more than their own size warrants.
+func FuzzCollect(f *testing.F) {
+	request, err := proto.Marshal(encodeCollectRequest(testRequest()))
+	if err != nil {
+		f.Fatal(err)
+	}
+	reply, err := proto.Marshal(encodePartialResult(relay.PartialResult{
+		Records: []byte("r"), Token: 3, Parts: []relay.CollectedPart{{Index: 1, Seal: "s"}}, Missing: []relay.MissingPart{{Index: 0, PossibleRuns: 1}},
+	}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(request)
+	f.Add(reply)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var request peerpb.CollectRequest
+		if proto.Unmarshal(data, &request) == nil {
+			r := decodeCollectRequest(&request)
+			if len(r.Services) > len(data) || r.Message == nil {
+				t.Fatalf("%d services from %d bytes", len(r.Services), len(data))
+			}
+		}
+		var reply peerpb.CollectReply
+		if proto.Unmarshal(data, &reply) == nil {
+			c := decodePartialResult(&reply)
+			if len(c.Parts)+len(c.Missing) > len(data) {
+				t.Fatalf("%d parts from %d bytes", len(c.Parts)+len(c.Missing), len(data))
+			}
+		}
+	})
+}
--- a/peer/pulse.go
+++ b/peer/gossip_socket.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"cmp"
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"hyssophub/gossip"
 	"hyssophub/peer/peerpb"
+	"hyssophub/work"
 )
 
 // GossipSocket sends and receives, over UDP, the heartbeats of the hosts that
@@ -26,14 +29,14 @@
 }
 
 // Start calls handle for each received heartbeat until Close. Datagrams that
-// cannot be decoded or name no sender are dropped.
-func (s *GossipSocket) Start(handle func(gossip.Heartbeat)) {
+// cannot be decoded or name no sender are dropped. A panic is reported to onPanic.
+func (s *GossipSocket) Start(handle func(gossip.Heartbeat), onPanic func(work.Panic)) {
 	s.receive(func(data []byte) {
 		var msg peerpb.Pulse
 		if err := proto.Unmarshal(data, &msg); err == nil && msg.GetSelf().GetName() != "" {
 			handle(decodeGossip(&msg, time.Now()))
 		}
-	})
+	}, onPanic)
 }
 
 // Send sends a heartbeat to UDP addresses. It tries all of them and returns the
@@ -64,7 +67,11 @@
 func encodeGossip(h gossip.Heartbeat, now time.Time) *peerpb.Pulse {
 	msg := &peerpb.Pulse{Self: encodeRecord(h.Sender, now)}
 	for _, r := range h.Others {
-		msg.Others = append(msg.Others, encodeRecord(r, now))
+		record := encodeRecord(r, now)
+		if record.Zone == msg.Self.Zone {
+			record.Zone = ""
+		}
+		msg.Others = append(msg.Others, record)
 	}
 	return msg
 }
@@ -73,8 +80,6 @@
 	msg := &peerpb.PulseHost{
 		Name:        r.Name,
 		Zone:        r.Zone,
-		Address:     r.Address,
-		Beat:        r.HeartbeatAddress,
 		Weight:      uint32(max(0, r.Weight)),
 		Revision:    r.Revision,
 		Position:    r.Progress,
@@ -82,34 +87,66 @@
 		Age:         uint32(max(0, now.Sub(r.LastSeen).Milliseconds())),
 		Incarnation: r.Incarnation,
 		Leaving:     r.Leaving,
+		Joining:     r.Joining,
+		Size:        uint32(max(0, r.ZoneSize)),
 	}
+	encodeAddresses(msg, r.Address, r.HeartbeatAddress)
 	if !r.StoreContact.IsZero() {
 		msg.Contact = uint32(max(0, now.Sub(r.StoreContact).Milliseconds())) + 1
 	}
 	return msg
 }
 
+// encodeAddresses sets the addresses of a host, which in numbers take a third of the
+// bytes of the texts.
+func encodeAddresses(msg *peerpb.PulseHost, address, heartbeatAddress string) {
+	tcp, tcpErr := netip.ParseAddrPort(address)
+	udp, udpErr := netip.ParseAddrPort(heartbeatAddress)
+	if tcpErr != nil || udpErr != nil || tcp.Addr() != udp.Addr() || !tcp.Addr().Is4() {
+		msg.Address, msg.Beat = address, heartbeatAddress
+		return
+	}
+	ip := tcp.Addr().As4()
+	msg.Ip = binary.BigEndian.Uint32(ip[:])
+	msg.Port, msg.Udp = uint32(tcp.Port()), uint32(udp.Port())
+}
+
+func decodeAddresses(msg *peerpb.PulseHost) (address, heartbeatAddress string) {
+	if msg.GetUdp() == 0 {
+		return msg.GetAddress(), msg.GetBeat()
+	}
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], msg.GetIp())
+	addr := netip.AddrFrom4(ip)
+	return netip.AddrPortFrom(addr, uint16(msg.GetPort())).String(), netip.AddrPortFrom(addr, uint16(msg.GetUdp())).String()
+}
+
 func decodeGossip(msg *peerpb.Pulse, now time.Time) gossip.Heartbeat {
 	h := gossip.Heartbeat{Sender: decodeRecord(msg.GetSelf(), now)}
 	for _, other := range msg.GetOthers() {
-		h.Others = append(h.Others, decodeRecord(other, now))
+		r := decodeRecord(other, now)
+		r.Zone = cmp.Or(r.Zone, h.Sender.Zone)
+		h.Others = append(h.Others, r)
 	}
 	return h
 }
 
 func decodeRecord(msg *peerpb.PulseHost, now time.Time) gossip.Record {
+	address, heartbeatAddress := decodeAddresses(msg)
 	r := gossip.Record{
 		Host: gossip.Host{
 			Name:             msg.GetName(),
 			Zone:             msg.GetZone(),
-			Address:          msg.GetAddress(),
-			HeartbeatAddress: msg.GetBeat(),
+			Address:          address,
+			HeartbeatAddress: heartbeatAddress,
 			Weight:           int(msg.GetWeight()),
 			Incarnation:      msg.GetIncarnation(),
 			Revision:         msg.GetRevision(),
 			Progress:         msg.GetPosition(),
 			Watching:         msg.GetWatching(),
 			Leaving:          msg.GetLeaving(),
+			ZoneSize:         int(msg.GetSize()),
+			Joining:          msg.GetJoining(),
 		},
 		LastSeen: now.Add(-time.Duration(msg.GetAge()) * time.Millisecond),
 	}
--- a/peer/beats.go
+++ b/peer/heartbeat_socket.go
@@ -7,6 +7,7 @@
 	"github.com/samber/oops"
 
 	"hyssophub/member"
+	"hyssophub/work"
 )
 
 // HeartbeatSocket sends and receives the heartbeats of entry hosts over UDP.
@@ -28,13 +29,13 @@
 }
 
 // Start calls handle for each received heartbeat until Close. Datagrams that
-// cannot be decoded are dropped.
-func (s *HeartbeatSocket) Start(handle func(member.Heartbeat)) {
+// cannot be decoded are dropped. A panic is reported to onPanic.
+func (s *HeartbeatSocket) Start(handle func(member.Heartbeat), onPanic func(work.Panic)) {
 	s.receive(func(data []byte) {
 		if heartbeat, err := DecodeHeartbeat(data, s.zone); err == nil {
 			handle(heartbeat)
 		}
-	})
+	}, onPanic)
 }
 
 // Send sends a heartbeat to a host. A lost datagram is not sent again, because
--- a/peer/beat_test.go
+++ b/peer/heartbeat_test.go
@@ -30,7 +30,7 @@
 	b, err := ListenHeartbeats("127.0.0.1:0", "zone-a")
 	require.NoError(t, err)
 	got := make(chan member.Heartbeat, 1)
-	b.Start(func(heartbeat member.Heartbeat) { got <- heartbeat })
+	b.Start(func(heartbeat member.Heartbeat) { got <- heartbeat }, nil)
 	want := member.Heartbeat{
 		From: hosts[0], Seq: 7, EchoIncarnation: 8, EchoSeq: 9, RecipientAlive: true, Epoch: 3, Revision: 4,
 		ConfirmationAge: 20 * time.Millisecond, Leaving: true,
--- /dev/null
+++ b/peer/limit.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Bounds of the messages between hosts, in bytes. A whole state of the store, the
+// largest message, has some megabytes at the design size.
+const (
+	maxRequestBytes  = 8 << 20
+	maxResponseBytes = 32 << 20
+	maxHeaderBytes   = 64 << 10
+)
+
+// errResponseTooLarge is the error of reading a response beyond its bound.
+var errResponseTooLarge = errors.New("peer: response too large")
+
+// limitRequests bounds the bodies of the requests to a handler.
+func limitRequests(handler http.Handler) http.Handler {
+	return http.MaxBytesHandler(handler, maxRequestBytes)
+}
+
+// limitedTransport bounds the bodies of responses, because the twirp client reads
+// them whole.
+type limitedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &limitedBody{ReadCloser: response.Body, left: maxResponseBytes}
+	return response, nil
+}
+
+type limitedBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
--- a/peer/tier.go
+++ b/peer/relay.go
@@ -33,7 +33,7 @@
 // NewRelayHandler returns the HTTP handler of the twirp service. Mount it at
 // "/".
 func NewRelayHandler(handler RelayHandler) http.Handler {
-	return peerpb.NewTierServer(&relayServer{handler: handler})
+	return limitRequests(peerpb.NewTierServer(&relayServer{handler: handler}))
 }
 
 type relayServer struct{ handler RelayHandler }
@@ -60,6 +60,10 @@
 func (s *relayServer) Changes(_ context.Context, msg *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
 	update := s.handler.ChangesAfter(msg.GetAfter())
 	reply := &peerpb.ChangesReply{Revision: update.Revision, Whole: update.Full}
+	if !update.CheckedAt.IsZero() {
+		// Rounded up, so that the receiver never sees a check as more recent.
+		reply.Checked = uint32(min(time.Since(update.CheckedAt), maxCheckedAge)/time.Millisecond) + 2
+	}
 	for _, item := range update.Items {
 		reply.Items = append(reply.Items, &peerpb.Item{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted, Away: item.MayReturn,
@@ -68,6 +72,9 @@
 	return reply, nil
 }
 
+// maxCheckedAge bounds the age of a check in a message.
+const maxCheckedAge = 24 * time.Hour
+
 // metaVerdict is the key of the verdict in the metadata of a twirp error.
 const metaVerdict = "verdict"
 
@@ -102,12 +109,13 @@
 // NewRelayClient returns a client with its own connections.
 func NewRelayClient() *RelayClient {
 	return &RelayClient{
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
-			MaxIdleConnsPerHost: relayMaxIdleConns,
-			IdleConnTimeout:     relayIdleTimeout,
-			DisableCompression:  true,
-		}},
+		http: &http.Client{Transport: limitedTransport{&http.Transport{
+			DialContext:            (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    relayMaxIdleConns,
+			IdleConnTimeout:        relayIdleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}}},
 		stubs:      make(map[string]peerpb.Tier),
 		unanswered: make(map[string]int),
 	}
@@ -132,11 +140,14 @@
 	ctx, cancel := context.WithTimeout(ctx, max(0, request.TimeToDeadline))
 	defer cancel()
 	msg, err := c.stub(address).Collect(ctx, encodeCollectRequest(request))
-	if err != nil {
+	if err != nil && !isAnswered(err) {
 		c.recordFailure(address)
 		return relay.PartialResult{}, decodeError(err)
 	}
 	c.recordAnswer(address)
+	if err != nil {
+		return relay.PartialResult{}, decodeError(err)
+	}
 	return decodePartialResult(msg), nil
 }
 
@@ -182,6 +193,9 @@
 		return feed.Update{}, decodeError(err)
 	}
 	update := feed.Update{Revision: msg.GetRevision(), Full: msg.GetWhole()}
+	if checked := msg.GetChecked(); checked > 0 {
+		update.CheckedAt = time.Now().Add(-time.Duration(checked) * time.Millisecond)
+	}
 	for _, item := range msg.GetItems() {
 		update.Items = append(update.Items, feed.Item{
 			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted(), MayReturn: item.GetAway(),
@@ -190,6 +204,12 @@
 	return update, nil
 }
 
+// isAnswered reports whether an error of a call is the answer of the called host.
+func isAnswered(err error) bool {
+	var remote twirp.Error
+	return errors.As(err, &remote) && remote.Meta(metaVerdict) != ""
+}
+
 // decodeError returns the error of a call with its verdict and reason. An error
 // that the called host returned has its own verdict. Otherwise only a connection
 // that was refused or never opened proves that nothing ran.
@@ -220,6 +240,7 @@
 		Goal:     r.TargetLatency.Microseconds(),
 		Route:    r.Route,
 		Version:  r.Version,
+		Spread:   r.Spread,
 	}
 	for name, values := range r.Message.Header {
 		for _, v := range values {
@@ -240,6 +261,7 @@
 		},
 		Route:          msg.GetRoute(),
 		Version:        msg.GetVersion(),
+		Spread:         msg.GetSpread(),
 		Services:       msg.GetServices(),
 		TopK:           int(msg.GetTop()),
 		MaxAttempts:    int(msg.GetAttempts()),
--- a/peer/tier_test.go
+++ b/peer/relay_test.go
@@ -45,6 +45,7 @@
 		Message:        &relay.Message{ID: "me", Method: http.MethodGet, URI: "/a?b", Host: "h", Header: http.Header{"X-Y": {"1", "2"}}},
 		Route:          "r",
 		Version:        7,
+		Spread:         true,
 		Services:       []string{"one", "two"},
 		TopK:           5,
 		MaxAttempts:    2,
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,7 +33,7 @@
 
 // NewHandler returns the HTTP handler of the twirp service. Mount it at "/".
 func NewHandler(handler Handler) http.Handler {
-	return peerpb.NewPeerServer(&server{handler: handler})
+	return limitRequests(peerpb.NewPeerServer(&server{handler: handler}))
 }
 
 type server struct{ handler Handler }
--- a/peer/datagrams.go
+++ b/peer/udp.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/samber/oops"
+
+	"hyssophub/work"
 )
 
 // maxDatagram is the size of the largest UDP datagram, in bytes.
@@ -30,8 +32,9 @@
 }
 
 // receive starts a goroutine that calls handle for each received datagram until
-// Close. The bytes are valid until handle returns.
-func (s *udpSocket) receive(handle func([]byte)) {
+// Close. The bytes are valid until handle returns. A panic of handle is reported to
+// onPanic and ends only the handling of that datagram.
+func (s *udpSocket) receive(handle func([]byte), onPanic func(work.Panic)) {
 	s.reader.Go(func() {
 		buffer := make([]byte, maxDatagram)
 		for {
@@ -39,7 +42,7 @@
 			if err != nil {
 				return
 			}
-			handle(buffer[:n])
+			work.Guard(onPanic, func() { handle(buffer[:n]) })
 		}
 	})
 }
--- a/query/engine.go
+++ b/query/engine.go
@@ -34,6 +34,9 @@
 	Workers int
 	// Queue is the largest number of jobs that wait for a worker, per class.
 	Queue int
+	// OnPanic, if not nil, is called with the panic of a job, which then ends only
+	// the job.
+	OnPanic func(work.Panic)
 }
 
 // job is a unit of work for the workers of an Engine. The interface is sealed.
@@ -87,7 +90,7 @@
 		options:   options,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.pool = work.NewPool(options.Workers, options.Queue, e.handle)
+	e.pool = work.NewPool(options.Workers, options.Queue, e.handle, work.Recovery[job]{Report: options.OnPanic, End: e.endPanicked})
 	return e
 }
 
@@ -111,7 +114,7 @@
 	}
 	// The caller's own goroutine ends the query, so that a full queue cannot
 	// delay the query past its deadline.
-	timer := time.NewTimer(time.Until(request.Deadline))
+	timer := time.NewTimer(work.TimerDelay(time.Until(request.Deadline)))
 	defer timer.Stop()
 	select {
 	case <-q.done:
@@ -183,6 +186,14 @@
 	}
 }
 
+// endPanicked ends a job that panicked. The sub-requests of a batch may have run; a
+// query whose other jobs panicked ends at its deadline.
+func (e *Engine) endPanicked(j job) {
+	if send, ok := j.(sendJob); ok {
+		e.failBatch(send.batch, fault.MayHaveRun{}, fault.ReasonInternal)
+	}
+}
+
 // submit queues a follow-up job of a query. If the queue is full, the job is
 // dropped, and the query ends at its deadline at the latest with the partial
 // answers received by then.
@@ -194,7 +205,7 @@
 func (e *Engine) apply(q *queryState, step effects) {
 	if len(step.retries) > 0 {
 		retry := retryJob{query: q, run: step.run, needs: step.retries}
-		time.AfterFunc(step.pause, func() { e.submit(q.request.Class, retry) })
+		time.AfterFunc(work.TimerDelay(step.pause), func() { e.submit(q.request.Class, retry) })
 	}
 	for _, o := range e.groupByOwner(q.request.Class, step.send) {
 		if err := e.pool.Submit(q.request.Class, sendJob{batch: o}); err != nil {
--- a/query/retry.go
+++ b/query/retry.go
@@ -72,7 +72,7 @@
 // known.
 func transient(reason fault.Reason) bool {
 	switch reason {
-	case fault.ReasonOverload, fault.ReasonTermLapsed, fault.ReasonNotOwner, fault.ReasonCold, fault.ReasonShed, fault.ReasonVersionMissing:
+	case fault.ReasonOverload, fault.ReasonTermLapsed, fault.ReasonNotOwner, fault.ReasonStopping, fault.ReasonOwnerDown, fault.ReasonCold, fault.ReasonShed, fault.ReasonVersionMissing:
 		return true
 	default:
 		return false
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -6,6 +6,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/rules"
+	"hyssophub/work"
 )
 
 // suspendTime is how long a collection sends exchanges for its missing parts
@@ -47,9 +48,9 @@
 		Arrived:  now,
 		Deadline: now.Add(request.TimeToDeadline + deadlineMargin),
 	})
-	r.collecting = true
+	r.collecting, r.spread = true, request.Spread
 	r.answerAt = now.Add(request.TimeToAnswer)
-	return e.collect(ctx, r, e.table.begin(r, now)), nil
+	return e.collect(ctx, r, func() actions { return e.table.begin(r, now) })
 }
 
 // CollectMore waits for further parts of a collection.
@@ -61,20 +62,31 @@
 	if l == nil || !l.timer.Stop() {
 		return PartialResult{}, fault.New(fault.MayHaveRun{}, fault.ReasonUnknownService, "collection %d has ended", token)
 	}
-	return e.collect(ctx, l.state, e.table.step(l.state, time.Now())), nil
+	return e.collect(ctx, l.state, func() actions { return e.table.step(l.state, time.Now()) })
 }
 
-// collect serves a collection until there is a partial result to report.
-func (e *Engine) collect(ctx context.Context, r *requestState, next actions) PartialResult {
+// collect serves a collection until there is a partial result to report. first returns
+// the first actions.
+func (e *Engine) collect(ctx context.Context, r *requestState, first func() actions) (PartialResult, error) {
 	stop := context.AfterFunc(ctx, r.cancel)
-	_ = e.run(r, next)
-	c := e.table.nextPartialResult(r)
-	if !stop() || len(c.Missing) == 0 || e.table.isComplete(r, time.Now()) {
+	var (
+		c   PartialResult
+		err error = fault.New(fault.MayHaveRun{}, fault.ReasonInternal, "host %s: %w", e.options.Host, errPanicked)
+	)
+	isSuspended := false
+	work.Guard(e.options.OnPanic, func() {
+		_ = e.run(r, first())
+		c = e.table.nextPartialResult(r)
+		err = nil
+		if stop() && len(c.Missing) > 0 && !e.table.isComplete(r, time.Now()) {
+			c.Token, isSuspended = e.suspend(r), true
+		}
+	})
+	if !isSuspended {
+		stop()
 		e.endCollection(r)
-		return c
 	}
-	c.Token = e.suspend(r)
-	return c
+	return c, err
 }
 
 // suspend keeps a collection in progress for suspendTime or until CollectMore
--- a/relay/conclude.go
+++ b/relay/conclude.go
@@ -17,7 +17,7 @@
 	}
 	if r.gather != nil && r.hasEnough() && (!now.Before(r.answerAt) || unanswerable == len(r.parts)-r.answered) {
 		if !r.late {
-			t.recordLag(now.Sub(r.answerAt))
+			t.recordLag(now.Sub(r.answerAt), now)
 		}
 		return r.answer()
 	}
--- a/relay/share.go
+++ b/relay/delegate.go
@@ -23,6 +23,8 @@
 	// time left until the request ends.
 	TimeToAnswer   time.Duration
 	TimeToDeadline time.Duration
+	// Spread lets the host delegate parts to other hosts of its availability zone.
+	Spread bool
 }
 
 // PartialResult is what a helper has collected since it last reported.
@@ -72,7 +74,17 @@
 	address string
 	// parts are indexes into the parts of the request.
 	parts []int
-	began time.Time
+	// spread lets the helper delegate parts to other hosts of its zone.
+	spread bool
+	// isNeighbour is set if the helper is in the zone of this host.
+	isNeighbour bool
+	// hasResult is set once the helper has answered, or counts as lost.
+	hasResult bool
+	// isSecond is set if another helper refused the parts before.
+	isSecond bool
+	// margin is the time by which the helper answers before this host does.
+	margin time.Duration
+	began  time.Time
 	// token identifies the collection on the helper; zero before its first
 	// partial result and once the collection has ended.
 	token uint64
@@ -90,8 +102,9 @@
 		MaxAttempts:    r.attempts(),
 		Priority:       r.request.Route.Priority,
 		TargetLatency:  r.request.Route.TargetLatency,
-		TimeToAnswer:   r.answerAt.Sub(now) - helperMargin,
+		TimeToAnswer:   r.answerAt.Sub(now) - x.margin,
 		TimeToDeadline: r.end.Sub(now),
+		Spread:         x.spread,
 	}
 	for i, p := range x.parts {
 		s.Services[i] = r.parts[p].service
@@ -99,26 +112,34 @@
 	return s
 }
 
-// helperMargin is the time by which a helper answers before this host does. It
-// covers the network between availability zones and the decoding.
-const helperMargin = 4 * time.Millisecond
+// A helper answers before this host does by a margin that covers the network,
+// helperMargin in another availability zone and neighbourMargin in the own one, and the
+// processing of the results of all helpers, which arrive at the same time: resultTime
+// on a whole core for each.
+const (
+	helperMargin    = 3 * time.Millisecond
+	neighbourMargin = 1500 * time.Microsecond
+	resultTime      = 300 * time.Microsecond
+)
+
+// setMargins sets the margins of the delegations of a request on a host with a
+// processor share in thousandths of a core.
+func setMargins(delegations []*delegation, weight int) {
+	processing := timeOn(weight, time.Duration(len(delegations))*resultTime)
+	for _, x := range delegations {
+		x.margin = processing + helperMargin
+		if x.isNeighbour {
+			x.margin = processing + neighbourMargin
+		}
+	}
+}
 
 // recordPartialResult applies the result or the error of a call to a helper.
 func (t *Table) recordPartialResult(x *delegation, c PartialResult, err error, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := x.state
-	// No further parts are delegated to a helper for a while if it did not
-	// answer in time. If the client left before the answer was due, the error
-	// says nothing about the helper.
-	if err != nil && (r.ctx.Err() == nil || !now.Before(r.answerAt)) {
-		t.hosts.Suspect(x.helper, now)
-		t.recordReach(x.zone, false, now)
-	}
-	if err == nil {
-		t.hosts.ClearSuspect(x.helper)
-		t.recordReach(x.zone, true, now)
-	}
+	t.judgeHelper(x, err, now)
 	if r.finished {
 		return
 	}
@@ -133,15 +154,70 @@
 	}
 }
 
+// judgeHelper records what a result says about a helper. No further parts are delegated
+// to it for a while if it did not answer, or answered only when its parts were of no
+// use any more. A late result on a host that is itself late says nothing, and neither
+// does an error after the client has left or a call that this host did not make.
+func (t *Table) judgeHelper(x *delegation, err error, now time.Time) {
+	r := x.state
+	isFirst := !x.hasResult
+	x.hasResult = true
+	switch {
+	case err == nil && !isFirst:
+		t.recordReach(x.zone, true, now)
+	case err == nil:
+		t.recordReach(x.zone, true, now)
+		if now.After(r.answerAt) && t.recentLag(now) < lateLagLimit {
+			t.hosts.Suspect(x.helper, now)
+		} else {
+			t.hosts.ClearSuspect(x.helper)
+		}
+	case fault.ReasonOf(err) == fault.ReasonOverload:
+	case r.ctx.Err() == nil || !now.Before(r.answerAt):
+		t.hosts.Suspect(x.helper, now)
+		t.recordReach(x.zone, false, now)
+	}
+}
+
+// lateLagLimit is the lag of this host up to which a late result is the helper's fault.
+const lateLagLimit = 5 * time.Millisecond
+
+// helperPatience is the time after the answer was due at which a helper without any
+// result counts as lost. Its parts would else be waited for until the deadline.
+const helperPatience = 100 * time.Millisecond
+
+// releaseLost takes back the parts of helpers that count as lost. Servers in a zone that
+// does not answer cannot be asked any more, so their runs do not count.
+func (t *Table) releaseLost(r *requestState, now time.Time, a *actions) {
+	for i := range r.parts {
+		x := r.parts[i].delegation
+		if x == nil || x.hasResult {
+			continue
+		}
+		lostAt := r.answerAt.Add(helperPatience)
+		if now.Before(lostAt) {
+			a.wakeBy(lostAt)
+			continue
+		}
+		x.hasResult = true
+		t.hosts.Suspect(x.helper, now)
+		t.recordReach(x.zone, false, now)
+		possibleRuns := r.attempts()
+		if t.hosts.UnreachableZones(now)[x.zone] {
+			possibleRuns = min(1, possibleRuns-1)
+		}
+		t.releaseParts(x, possibleRuns, fault.ReasonDeadline)
+	}
+}
+
 // acceptParts applies a partial result. If one of its parts cannot be used, all
-// are rejected, because their records are already merged.
+// are rejected, because their records are already merged. A helper that has ended
+// the collection without a word on a part may have used all its attempts.
 func (t *Table) acceptParts(x *delegation, c PartialResult) {
 	r := x.state
-	for _, p := range c.Parts {
-		if p.Index < 0 || p.Index >= len(x.parts) || r.parts[x.parts[p.Index]].answer != nil || r.isDuplicate(p.Seal) {
-			t.releaseParts(x, r.attempts(), fault.ReasonTruncated)
-			return
-		}
+	if !r.isAcceptable(x, c.Parts) {
+		t.releaseParts(x, r.attempts(), fault.ReasonTruncated)
+		return
 	}
 	for _, p := range c.Parts {
 		part := &r.parts[x.parts[p.Index]]
@@ -152,6 +228,7 @@
 	}
 	if len(c.Parts) > 0 {
 		r.collectedRecords = append(r.collectedRecords, c.Records)
+		r.hasNew = true
 	}
 	x.token = c.Token
 	for _, m := range c.Missing {
@@ -168,7 +245,26 @@
 	}
 	if c.Token != 0 {
 		r.incomplete = append(r.incomplete, x)
+		return
+	}
+	t.releaseParts(x, r.attempts(), fault.ReasonInternal)
+}
+
+// isAcceptable reports whether all parts that a helper reports as answered belong to
+// its delegation, are still open, and have different seals.
+func (r *requestState) isAcceptable(x *delegation, parts []CollectedPart) bool {
+	seals := make(map[string]bool, len(parts))
+	indexes := make(map[int]bool, len(parts))
+	for _, p := range parts {
+		if p.Index < 0 || p.Index >= len(x.parts) || indexes[p.Index] || seals[p.Seal] {
+			return false
+		}
+		if r.parts[x.parts[p.Index]].delegation != x || r.isDuplicate(p.Seal) {
+			return false
+		}
+		indexes[p.Index], seals[p.Seal] = true, true
 	}
+	return true
 }
 
 // failDelegation takes back the parts of a helper that did not answer. Before
@@ -176,7 +272,11 @@
 // server only; later it may have used all attempts.
 func (t *Table) failDelegation(x *delegation, err error, now time.Time) {
 	possibleRuns := x.state.attempts()
-	if _, unsent := fault.VerdictOf(err).(fault.NotRun); unsent {
+	// With a token, the helper has sent parts before this call.
+	if _, unsent := fault.VerdictOf(err).(fault.NotRun); unsent && x.token == 0 {
+		if t.redelegate(x, now) {
+			return
+		}
 		possibleRuns = 0
 	} else if now.Sub(x.began) < time.Duration(hedgeMinShare*float64(x.state.request.Route.TargetLatency)) && x.token == 0 {
 		possibleRuns = min(1, possibleRuns)
@@ -184,6 +284,20 @@
 	t.releaseParts(x, possibleRuns, fault.ReasonOf(err))
 }
 
+// redelegate delegates the parts of a helper that refused them to another host of its
+// zone, once, and reports whether there is one. Sending them all from this host would
+// take longer and, from another zone, many times the bytes.
+func (t *Table) redelegate(x *delegation, now time.Time) bool {
+	helpers := t.hosts.AvailableHosts(x.zone, now)
+	if x.isSecond || len(helpers) == 0 || len(x.parts) < minRemoteParts {
+		return false
+	}
+	second := t.delegate(x.state, x.parts, t.selectCoordinator(x.zone, helpers), now)
+	second.spread, second.isSecond, second.margin = x.spread, true, x.margin
+	x.state.redelegations = append(x.state.redelegations, second)
+	return true
+}
+
 // releaseParts takes back the unanswered parts of a delegation, so that this
 // host sends them itself. possibleRuns is the number of servers that may have
 // run each of them.
@@ -212,13 +326,17 @@
 		p := &r.parts[i]
 		switch {
 		case p.answer == nil:
-			c.Missing = append(c.Missing, MissingPart{Index: i, PossibleRuns: p.possibleRuns + len(p.open), Reason: p.missingReason(), Tried: p.tried})
+			c.Missing = append(c.Missing, MissingPart{Index: i, PossibleRuns: r.possibleRuns(p), Reason: p.missingReason(), Tried: p.tried})
 		case !p.reported:
 			p.reported = true
 			c.Parts = append(c.Parts, CollectedPart{Index: i, Seal: p.answer.Seal})
 			top.addAll(p.answer.Body)
 		}
 	}
+	for _, records := range r.collectedRecords[r.reportedRecords:] {
+		top.addAll(records)
+	}
+	r.reportedRecords = len(r.collectedRecords)
 	c.Records = top.encode()
 	r.hasNew, r.reported = false, true
 	return c
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// QueueLimit is the greatest number of jobs per class that wait for a
 	// worker.
 	QueueLimit int
+	// OnPanic, if not nil, is called with a panic in the service of a request, which
+	// then ends only that request.
+	OnPanic func(work.Panic)
 }
 
 // job is a unit of work for the pool. The interface is sealed.
@@ -67,7 +71,7 @@
 		suspended: make(map[uint64]*suspendedCollection),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.pool = work.NewPool(options.Workers, options.QueueLimit, e.handle)
+	e.pool = work.NewPool(options.Workers, options.QueueLimit, e.handle, work.Recovery[job]{Report: options.OnPanic, End: e.endPanicked})
 	return e
 }
 
@@ -104,9 +108,15 @@
 	defer e.active.Leave()
 	r := e.newRequestState(ctx, request)
 	defer r.cancel()
-	next := e.table.begin(r, now)
-	helpers := len(next.collect)
-	result := e.run(r, next)
+	var (
+		result  Result = declined(fault.MayHaveRun{}, fault.ReasonInternal, 0)
+		helpers int
+	)
+	work.Guard(e.options.OnPanic, func() {
+		next := e.table.begin(r, now)
+		helpers = len(next.collect)
+		result = e.run(r, next)
+	})
 	if e.table.finish(r) && ctx.Err() == nil {
 		time.AfterFunc(helperGrace, r.cancelHelpers)
 	} else {
@@ -119,7 +129,9 @@
 
 func (e *Engine) newRequestState(ctx context.Context, request Request) *requestState {
 	r := &requestState{request: request, wake: make(chan struct{}, 1)}
-	r.ctx, r.cancel = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	r.ctx, r.fail = ctx, cancel
+	r.cancel = func() { cancel(nil) }
 	r.helperCtx, r.cancelHelpers = context.WithCancel(e.ctx)
 	route := request.Route
 	r.end = request.Deadline.Add(-deadlineMargin)
@@ -135,7 +147,8 @@
 		r.parts = []part{{service: e.rules.Pick(route.Name, target)}}
 	case rules.Gather:
 		r.gather = &target
-		r.answerAt = request.Arrived.Add(route.TargetLatency - e.table.answerLead(request.NetworkTime))
+		lead := min(e.table.answerLead(request.NetworkTime, time.Now()), route.TargetLatency/2)
+		r.answerAt = request.Arrived.Add(route.TargetLatency - lead)
 		r.parts = make([]part, len(target.Services))
 		for i, s := range target.Services {
 			r.parts[i].service = s
@@ -146,7 +159,7 @@
 
 // run carries out the actions of a request until its result is decided.
 func (e *Engine) run(r *requestState, next actions) Result {
-	timer := time.NewTimer(time.Until(next.wakeAt))
+	timer := time.NewTimer(work.TimerDelay(time.Until(next.wakeAt)))
 	defer timer.Stop()
 	for {
 		for _, x := range next.send {
@@ -161,11 +174,16 @@
 		if next.result != nil {
 			return next.result
 		}
-		timer.Reset(time.Until(next.wakeAt))
+		timer.Reset(work.TimerDelay(time.Until(next.wakeAt)))
 		select {
 		case <-r.wake:
 		case <-timer.C:
 		case <-r.ctx.Done():
+		}
+		switch cause := context.Cause(r.ctx); {
+		case errors.Is(cause, errPanicked):
+			return declined(fault.MayHaveRun{}, fault.ReasonInternal, 0)
+		case cause != nil:
 			return declined(fault.MayHaveRun{}, fault.ReasonClientLeft, 0)
 		}
 		next = e.table.step(r, time.Now())
@@ -212,11 +230,33 @@
 		c, err := e.helpers.Collect(j.delegation.state.helperCtx, j.delegation.address, j.delegation.collectRequest())
 		e.table.recordPartialResult(j.delegation, c, err, time.Now())
 	case collectMoreJob:
-		c, err := e.helpers.CollectMore(j.delegation.state.helperCtx, j.delegation.address, j.delegation.token)
+		ctx, cancel := context.WithDeadline(j.delegation.state.helperCtx, j.delegation.state.end.Add(helperGrace))
+		c, err := e.helpers.CollectMore(ctx, j.delegation.address, j.delegation.token)
+		cancel()
 		e.table.recordPartialResult(j.delegation, c, err, time.Now())
 	}
 }
 
+// errPanicked is the cause of the end of a request one of whose jobs panicked.
+var errPanicked = errors.New("relay: a job of the request panicked")
+
+// endPanicked ends the request of a job that panicked, because its state may be
+// changed in part. The request may have run.
+func (e *Engine) endPanicked(j job) {
+	err := fault.New(fault.MayHaveRun{}, fault.ReasonInternal, "host %s: %w", e.options.Host, errPanicked)
+	switch j := j.(type) {
+	case sendJob:
+		j.exchange.state.fail(errPanicked)
+		e.table.recordOutcome(j.exchange, Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonInternal, Err: err}, time.Now())
+	case collectJob:
+		j.delegation.state.fail(errPanicked)
+		e.table.recordPartialResult(j.delegation, PartialResult{}, err, time.Now())
+	case collectMoreJob:
+		j.delegation.state.fail(errPanicked)
+		e.table.recordPartialResult(j.delegation, PartialResult{}, err, time.Now())
+	}
+}
+
 // exchange performs one exchange with a backend server and records its outcome.
 func (e *Engine) exchange(x *exchange) {
 	ctx := x.state.ctx
--- a/relay/merge.go
+++ b/relay/merge.go
@@ -5,8 +5,13 @@
 	"slices"
 )
 
-// recordSize is the size of a record of a gathered answer, in bytes.
-const recordSize = 16
+const (
+	// recordSize is the size of a record of a gathered answer, in bytes.
+	recordSize = 16
+	// initialRecords bounds the records for which memory is allocated in advance,
+	// because the limit comes from rules and from other hosts.
+	initialRecords = 256
+)
 
 // merge returns the greatest records of the answered parts in descending order,
 // with the seals of these parts.
@@ -28,6 +33,17 @@
 	return m
 }
 
+// trimToTop returns the greatest records of a part, in a buffer of their own, so that
+// the buffer of the whole body is free. A short body is returned as it is.
+func (r *requestState) trimToTop(body []byte) []byte {
+	if len(body) <= r.gather.TopK*recordSize {
+		return body
+	}
+	top := newTopRecords(r.gather.TopK)
+	top.addAll(body)
+	return top.encode()
+}
+
 // topRecords holds the greatest records, in descending order of their bytes.
 type topRecords struct {
 	limit   int
@@ -35,7 +51,8 @@
 }
 
 func newTopRecords(limit int) *topRecords {
-	return &topRecords{limit: limit, records: make([][]byte, 0, limit+1)}
+	limit = max(0, limit)
+	return &topRecords{limit: limit, records: make([][]byte, 0, min(limit, initialRecords)+1)}
 }
 
 // addAll adds the records of an answer. Trailing bytes that do not make a full
--- a/relay/message.go
+++ b/relay/message.go
@@ -51,6 +51,10 @@
 	// server does not close it for its idle timeout while the request is being
 	// sent.
 	Fresh bool
+	// Again is set if the server may have got the request before. The exchange then
+	// needs a connection of its own, because a second copy of the first answer may
+	// still arrive on the earlier one.
+	Again bool
 }
 
 // Outcome is the result of an exchange with a backend server. The interface is
@@ -65,6 +69,9 @@
 		Body   []byte
 		// Seal authenticates the answer to the client; empty if absent.
 		Seal string
+		// Unframed is set if the body ended with its connection, so that nothing
+		// but the end of the connection shows it to be complete.
+		Unframed bool
 	}
 	// Refused is proof that the server did not run the request.
 	Refused struct {
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hyssophub/gossip"
+	"hyssophub/rules"
 )
 
 const (
@@ -28,41 +29,118 @@
 	smallZone = 4
 )
 
-// plan delegates parts of a gathered request to helpers. Helpers are in the
-// availability zone of the backend servers and merge the records there, so that
-// fewer bytes cross zones. In a zone of many hosts, each group of services is
-// collected by one host, which is selected by rendezvous hashing. That host
-// gets all answers of a server and needs few connections to it.
+// plan delegates parts of a gathered request to helpers. In each other availability
+// zone a coordinator collects all parts that the zone serves and merges the records
+// there, so that few bytes cross zones. In a zone of many hosts each group of services
+// is collected by one host, which is selected by rendezvous hashing. That host gets all
+// answers of a server and needs few connections to it.
 func (t *Table) plan(r *requestState, now time.Time) []*delegation {
 	zones, byZone := t.partsByZone(r, now)
 	var delegations []*delegation
 	for _, zone := range zones {
 		parts := byZone[zone]
 		helpers := t.hosts.AvailableHosts(zone, now)
-		isOwn := zone == t.fleet.Zone()
-		if len(helpers) == 0 || (!isOwn && len(parts) < minRemoteParts) || (isOwn && len(helpers) < smallZone) {
-			continue
-		}
-		if isOwn {
-			helpers = append(helpers, t.hosts.Self())
+		switch {
+		case zone == t.fleet.Zone():
+			delegations = append(delegations, t.planOwnZone(r, parts, helpers, now)...)
+		case len(helpers) > 0 && len(parts) >= minRemoteParts:
+			x := t.delegate(r, parts, t.selectCoordinator(zone, helpers), now)
+			x.spread = true
+			delegations = append(delegations, x)
 		}
-		delegations = append(delegations, t.assign(r, parts, helpers, now)...)
 	}
 	return delegations
 }
 
+// planOwnZone delegates parts that the own zone serves: to the hosts that collect their
+// groups, or to a coordinator if that takes less time.
+func (t *Table) planOwnZone(r *requestState, parts []int, neighbours []gossip.Host, now time.Time) []*delegation {
+	if len(neighbours) < smallZone {
+		return nil
+	}
+	groups := t.assignGroups(r, parts, neighbours)
+	coordinator := t.selectCoordinator(t.fleet.Zone(), neighbours)
+	if isCoordinationFaster(t.hosts.Self().Weight, coordinator.Weight, len(groups)) {
+		x := t.delegate(r, parts, coordinator, now)
+		x.spread = true
+		return []*delegation{x}
+	}
+	return t.delegateGroups(r, groups, now)
+}
+
+// Times of the calls to helpers, from which planOwnZone estimates the time until the
+// last call is sent: of one call on a whole core, and of the way through a coordinator.
+const (
+	callTime = 200 * time.Microsecond
+	hopTime  = 3 * time.Millisecond
+)
+
+// isCoordinationFaster reports whether a host with a processor share in thousandths of a
+// core makes a number of calls sooner through a coordinator.
+func isCoordinationFaster(weight, coordinatorWeight, calls int) bool {
+	perCall := timeOn(weight, callTime)
+	perCallThere := timeOn(coordinatorWeight, callTime)
+	return time.Duration(calls)*perCall > perCall+hopTime+time.Duration(calls)*perCallThere
+}
+
+// planSpread delegates the parts of a collection to other hosts of the own zone.
+// Parts that the zone does not serve well are sent by this host.
+func (t *Table) planSpread(r *requestState, now time.Time) []*delegation {
+	own := t.fleet.Zone()
+	parts := t.fleet.ServableByZone(t.scope(r.request.View), r.services(), now)[own]
+	neighbours := t.hosts.AvailableHosts(own, now)
+	if len(neighbours) < smallZone {
+		return nil
+	}
+	return t.delegateGroups(r, t.assignGroups(r, parts, neighbours), now)
+}
+
+// coordinatorShare is the least processor share of a coordinator, in parts of the
+// greatest share in its zone.
+const coordinatorShare = 0.5
+
+func greatestWeight(hosts []gossip.Host) int {
+	greatest := 0
+	for _, h := range hosts {
+		greatest = max(greatest, h.Weight)
+	}
+	return greatest
+}
+
+// selectCoordinator returns the host that collects the parts of a zone for this host.
+// Each host keeps to one coordinator a zone, so that few connections cross zones, and
+// the coordinators of the hosts are spread by weight.
+func (t *Table) selectCoordinator(zone string, helpers []gossip.Host) gossip.Host {
+	seed := xxhash.Sum64String(t.hosts.Self().Name + "/" + zone)
+	least := coordinatorShare * float64(greatestWeight(helpers))
+	best, lowest := 0, math.Inf(1)
+	for i, h := range helpers {
+		if score := rendezvous(seed, h); float64(h.Weight) >= least && score < lowest {
+			best, lowest = i, score
+		}
+	}
+	return helpers[best]
+}
+
+// delegate delegates parts to a host.
+func (t *Table) delegate(r *requestState, parts []int, helper gossip.Host, now time.Time) *delegation {
+	isNeighbour := helper.Zone == t.fleet.Zone()
+	x := &delegation{
+		state: r, helper: helper.Name, zone: helper.Zone, address: helper.Address,
+		parts: parts, isNeighbour: isNeighbour, began: now,
+	}
+	for _, i := range parts {
+		r.parts[i].delegation, r.parts[i].helper = x, x.helper
+	}
+	return x
+}
+
 // partsByZone assigns each part to an availability zone that serves it: the
 // zone of this host if possible, then the zone that serves most of the
 // remaining parts, so that few calls cross zones. Parts that no zone serves are
 // left out. order lists the zones in the order of assignment.
 func (t *Table) partsByZone(r *requestState, now time.Time) (order []string, byZone map[string][]int) {
-	servable := make(map[string][]int)
-	scope := t.scope(r.request.View)
-	for i := range r.parts {
-		for _, zone := range t.fleet.HealthyZones(scope, r.parts[i].service, now) {
-			servable[zone] = append(servable[zone], i)
-		}
-	}
+	servable := t.fleet.ServableByZone(t.scope(r.request.View), r.services(), now)
 	byZone = make(map[string][]int)
 	assigned := make([]bool, len(r.parts))
 	zone := t.fleet.Zone()
@@ -111,40 +189,64 @@
 	return best[rand.IntN(len(best))]
 }
 
-// assign delegates the groups of services to hosts. Groups of this host are not
-// delegated.
-func (t *Table) assign(r *requestState, parts []int, helpers []gossip.Host, now time.Time) []*delegation {
-	groups := (len(r.parts) + partsPerGroup - 1) / partsPerGroup
+// assignment is the parts of a request that a neighbour collects.
+type assignment struct {
+	host  gossip.Host
+	parts []int
+}
+
+// assignGroups assigns the groups of services to hosts of the own zone and returns the
+// parts of each host other than this one, whose parts it sends itself.
+func (t *Table) assignGroups(r *requestState, parts []int, neighbours []gossip.Host) []assignment {
+	hosts := append(neighbours, t.hosts.Self())
+	groups := max(1, (t.countOwnServices(r)+partsPerGroup-1)/partsPerGroup)
 	byGroup := make([][]int, groups)
 	for _, i := range parts {
 		g := xxhash.Sum64String(r.parts[i].service) % uint64(groups)
 		byGroup[g] = append(byGroup[g], i)
 	}
-	load := make([]int, len(helpers))
-	byHelper := make([][]int, len(helpers))
+	load := make([]int, len(hosts))
+	byHost := make([][]int, len(neighbours))
 	for g, list := range byGroup {
 		if len(list) == 0 {
 			continue
 		}
-		h := selectHelper(uint64(g), helpers, load)
+		h := selectHelper(uint64(g), hosts, load)
 		load[h] += partsPerGroup
-		byHelper[h] = append(byHelper[h], list...)
-	}
-	self := t.hosts.Self().Name
-	var delegations []*delegation
-	for h, list := range byHelper {
-		if len(list) == 0 || helpers[h].Name == self {
-			continue
+		if h < len(neighbours) {
+			byHost[h] = append(byHost[h], list...)
 		}
-		x := &delegation{state: r, helper: helpers[h].Name, zone: helpers[h].Zone, address: helpers[h].Address, parts: list, began: now}
-		for _, i := range list {
-			r.parts[i].delegation, r.parts[i].helper = x, x.helper
+	}
+	var assigned []assignment
+	for h, list := range byHost {
+		if len(list) > 0 {
+			assigned = append(assigned, assignment{host: neighbours[h], parts: list})
 		}
-		delegations = append(delegations, x)
+	}
+	return assigned
+}
+
+func (t *Table) delegateGroups(r *requestState, assigned []assignment, now time.Time) []*delegation {
+	delegations := make([]*delegation, 0, len(assigned))
+	for _, a := range assigned {
+		delegations = append(delegations, t.delegate(r, a.parts, a.host, now))
 	}
 	return delegations
 }
 
+// countOwnServices returns the number of services of a request's route that have
+// instances in the own zone. The hosts of a zone agree on it and thus on the groups,
+// whatever part of a request each of them collects.
+func (t *Table) countOwnServices(r *requestState) int {
+	services := r.gather.Services
+	if route, ok := r.request.View.Route(r.request.Route.Name); ok {
+		if gather, ok := route.Target.(rules.Gather); ok {
+			services = gather.Services
+		}
+	}
+	return t.fleet.CountInZone(services)
+}
+
 // selectHelper returns the index of the host that collects a group: the first
 // one in the group's order of weighted rendezvous hashing that has capacity
 // left, or the first one if none has.
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -15,15 +15,11 @@
 	if !t.hosts.HasUnreachableZone(now) {
 		return true
 	}
-	services := make([]string, len(r.parts))
-	for i := range r.parts {
-		services[i] = r.parts[i].service
-	}
 	minShare := 1.0
 	if r.gather != nil {
 		minShare = r.gather.MinShare
 	}
-	return t.hasReachable(t.scope(r.request.View), services, minShare, now)
+	return t.hasReachable(t.scope(r.request.View), r.services(), minShare, now)
 }
 
 // scope returns the rules for the choice of instances. The services are those
@@ -40,13 +36,17 @@
 // hasReachable reports whether the given fraction of the services has instances
 // in availability zones that this host reaches.
 func (t *Table) hasReachable(scope fleet.Constraints, services []string, minShare float64, now time.Time) bool {
-	reachable := 0
-	for _, s := range services {
-		if len(t.fleet.HealthyZones(scope, s, now)) > 0 {
-			reachable++
+	reachable := make([]bool, len(services))
+	count := 0
+	for _, servable := range t.fleet.ServableByZone(scope, services, now) {
+		for _, i := range servable {
+			if !reachable[i] {
+				reachable[i] = true
+				count++
+			}
 		}
 	}
-	return float64(reachable) >= minShare*float64(len(services))
+	return float64(count) >= minShare*float64(len(services))
 }
 
 // CanServe reports whether this host can serve requests on all routes: either
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -150,7 +150,8 @@
 		Arrived:  s.now,
 		Deadline: s.now.Add(props.Duration(t, d, "deadline")),
 	})
-	s.state.collecting = d.HasArg("collecting")
+	s.state.collecting = d.HasArg("collecting") || d.HasArg("spread")
+	s.state.spread = d.HasArg("spread")
 	s.exchanges, s.delegations = nil, nil
 	return s.show(s.table.begin(s.state, s.now))
 }
@@ -160,7 +161,7 @@
 	var outcome Outcome
 	switch {
 	case d.HasArg("answered"):
-		outcome = Answered{Status: int(props.Number(t, d, "answered")), Seal: argument(d, "seal"), Body: []byte(argument(d, "body"))}
+		outcome = Answered{Status: int(props.Number(t, d, "answered")), Seal: argument(d, "seal"), Body: []byte(argument(d, "body")), Unframed: d.HasArg("unframed")}
 	case d.HasArg("refused"):
 		outcome = Refused{Reason: fault.Reason(props.Text(t, d, "refused"))}
 	default:
@@ -237,6 +238,9 @@
 		if x.request.Fresh {
 			b.WriteString(" fresh")
 		}
+		if x.request.Again {
+			b.WriteString(" again")
+		}
 		b.WriteString("\n")
 		s.exchanges = append(s.exchanges, x)
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Delay of a hedge, which is a second exchange for a part whose first one is
 // slow: a multiple of the usual latency of the service, between two fractions
@@ -33,7 +36,7 @@
 		if extra {
 			t.budget(p.service).refund(now, t.limits)
 		}
-		p.clearTried()
+		p.clearExcluded()
 		p.pausedUntil = now.Add(retryPause)
 		a.wakeBy(p.pausedUntil)
 	}
@@ -78,7 +81,7 @@
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
 	scope.TargetLatency, scope.HealthyOnly = r.request.Route.TargetLatency, healthyOnly
-	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried, now)
+	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried[p.excludedFrom:], now)
 	if !ok {
 		r.serverRetryAfter = refusal.RetryAfter
 		return false
@@ -93,6 +96,7 @@
 			Message:  r.request.Message,
 			Deadline: r.end,
 			Fresh:    !r.isRepeatable(),
+			Again:    slices.Contains(p.tried, choice.ID),
 		},
 	}
 	p.open = append(p.open, x)
--- a/relay/record.go
+++ b/relay/state.go
@@ -28,22 +28,32 @@
 	wake   chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
+	// fail ends the request with a cause.
+	fail context.CancelCauseFunc
 	// helperCtx is the context of calls to helpers. It outlives the request by
 	// helperGrace, which separates a helper that is slightly late from one that
 	// has failed.
 	helperCtx     context.Context
 	cancelHelpers context.CancelFunc
 
-	// collecting is set if another host asked for the parts. hasNew is set if a
+	// collecting is set if another host asked for the parts, and spread if this host
+	// may pass them on to other hosts of its zone. hasNew is set if a
 	// part was answered since the last partial result for that host, and
 	// reported after the first partial result.
 	collecting bool
+	spread     bool
 	hasNew     bool
 	reported   bool
 	// collectedRecords are the merged records from helpers. incomplete lists
 	// the delegations with missing parts, for which CollectMore is to be called.
 	collectedRecords [][]byte
-	incomplete       []*delegation
+	// reportedRecords is the number of collectedRecords in the partial results for
+	// the host that asked for the parts.
+	reportedRecords int
+	incomplete      []*delegation
+	// redelegations are delegations of parts that another helper refused, for which
+	// Collect is to be called.
+	redelegations []*delegation
 
 	sends  int
 	hedges int
@@ -64,10 +74,12 @@
 	reason  fault.Reason
 	// open lists the exchanges in progress.
 	open []*exchange
-	// tried lists the instances that the part was sent to, and possibleRuns
-	// counts those that may have run it. sends counts the exchanges, except
-	// those that failed with proof that the part did not run.
+	// tried lists the instances that the part was sent to. Those from excludedFrom
+	// on are not chosen again. possibleRuns counts those that may have run the part.
+	// sends counts the exchanges, except those that failed with proof that the part
+	// did not run.
 	tried        []string
+	excludedFrom int
 	possibleRuns int
 	sends        int
 	// deliveries counts the exchanges that may have reached an instance.
@@ -117,6 +129,15 @@
 	return p.reason
 }
 
+// possibleRuns returns the number of servers that may have run a part. A helper that
+// collects the part may use all its attempts.
+func (r *requestState) possibleRuns(p *part) int {
+	if p.delegation != nil {
+		return r.attempts()
+	}
+	return p.possibleRuns + len(p.open)
+}
+
 // isDelegated reports whether a helper is still collecting a part.
 func (r *requestState) isDelegated() bool {
 	for i := range r.parts {
@@ -127,6 +148,15 @@
 	return false
 }
 
+// services returns the services of the parts.
+func (r *requestState) services() []string {
+	services := make([]string, len(r.parts))
+	for i := range r.parts {
+		services[i] = r.parts[i].service
+	}
+	return services
+}
+
 // retryAfter returns the time after which a refused client may retry.
 func (r *requestState) retryAfter() time.Duration { return max(refusalRetryAfter, r.serverRetryAfter) }
 
@@ -156,5 +186,5 @@
 	}
 }
 
-// clearTried allows instances that were tried for the part to be chosen again.
-func (p *part) clearTried() { p.tried = p.tried[:0] }
+// clearExcluded allows instances that were tried for the part to be chosen again.
+func (p *part) clearExcluded() { p.excludedFrom = len(p.tried) }
--- a/relay/table.go
+++ b/relay/table.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,16 +13,17 @@
 
 // Timing of requests in progress.
 const (
-	// answerMargin is the time for merging and writing an answer. A gathered
-	// request is answered before its response-time objective by answerMargin,
+	// answerMargin and answerTime are the time for reading a request, and for
+	// merging and writing its answer: a fixed time, and one on a whole core. A
+	// gathered request is answered before its response-time objective by these,
 	// the network time and the usual lag of this host.
-	answerMargin = 3 * time.Millisecond
+	answerMargin = 2 * time.Millisecond
+	answerTime   = 800 * time.Microsecond
 	// maxLag is the greatest lag of this host that is subtracted from the
 	// response-time objective.
 	maxLag = 12 * time.Millisecond
-	// lagDecay is the factor by which the recent maximum of the lag decreases
-	// with each answer.
-	lagDecay = 0.97
+	// lagHalfLife is the half-life of the recent maximum of the lag.
+	lagHalfLife = 10 * time.Second
 	// deadlineMargin is the time before the client's deadline at which the
 	// final answer is sent, so that it arrives in time.
 	deadlineMargin = 10 * time.Millisecond
@@ -61,7 +63,9 @@
 	// lag is a decaying maximum of the recent delays between the time at which
 	// an answer was due and its decision. It grows while the processor of the
 	// host is busy.
-	lag time.Duration
+	// It is that of the time lagAt.
+	lag   time.Duration
+	lagAt time.Time
 }
 
 // NewTable returns a table without requests. hostCount is the number of hosts
@@ -124,9 +128,14 @@
 		return actions{result: declined(fault.NotRun{}, fault.ReasonZoneCut, cutOffRetryAfter)}
 	}
 	var delegations []*delegation
-	if r.gather != nil && !r.collecting {
+	switch {
+	case r.gather == nil:
+	case r.spread:
+		delegations = t.planSpread(r, now)
+	case !r.collecting:
 		delegations = t.plan(r, now)
 	}
+	setMargins(delegations, t.hosts.Self().Weight)
 	for i := range r.parts {
 		// A delegated part is counted by its helper, which sends it first.
 		if r.parts[i].delegation == nil {
@@ -134,7 +143,7 @@
 		}
 	}
 	a := t.advance(r, now)
-	a.collect = delegations
+	a.collect = append(a.collect, delegations...)
 	return a
 }
 
@@ -147,15 +156,31 @@
 
 // answerLead returns how long before the response-time objective a request with
 // the given network time is to be answered.
-func (t *Table) answerLead(networkTime time.Duration) time.Duration {
+func (t *Table) answerLead(networkTime time.Duration, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return answerMargin + networkTime + t.lag
+	return answerMargin + timeOn(t.hosts.Self().Weight, answerTime) + networkTime + t.recentLag(now)
+}
+
+// timeOn returns how long a host takes for work of the given time on a whole core. The
+// weight is its processor share in thousandths of a core; zero means that it is unknown
+// and taken to be a whole core.
+func timeOn(weight int, work time.Duration) time.Duration {
+	if weight <= 0 {
+		return work
+	}
+	return work * 1000 / time.Duration(weight)
+}
+
+// recentLag returns the recent maximum of the lag. It decays with time and not with the
+// answers, of which a host of a large tier gives one in some seconds.
+func (t *Table) recentLag(now time.Time) time.Duration {
+	return time.Duration(math.Exp2(-float64(now.Sub(t.lagAt))/float64(lagHalfLife)) * float64(t.lag))
 }
 
 // recordLag updates lag with the delay of one decision.
-func (t *Table) recordLag(lag time.Duration) {
-	t.lag = max(time.Duration(lagDecay*float64(t.lag)), min(max(0, lag), maxLag))
+func (t *Table) recordLag(lag time.Duration, now time.Time) {
+	t.lag, t.lagAt = max(t.recentLag(now), min(max(0, lag), maxLag)), now
 }
 
 // finish marks a request as finished and reports whether a helper is still
@@ -170,17 +195,18 @@
 // advance returns the result of a request if it is decided, and otherwise the
 // next actions for each part. The caller holds mu.
 func (t *Table) advance(r *requestState, now time.Time) actions {
-	var a actions
+	a := actions{wakeAt: r.end}
+	t.releaseLost(r, now, &a)
 	if a.result = t.conclude(r, now); a.result != nil {
 		return a
 	}
-	a.wakeAt = r.end
 	deliverBy := r.request.Arrived.Add(time.Duration(deliveryShare * float64(r.request.Route.TargetLatency)))
 	overdue := !r.collecting && r.isUndelivered() && !now.Before(deliverBy)
 	if r.gather != nil && now.Before(r.answerAt) {
 		a.wakeBy(r.answerAt)
 	}
 	a.collectMore, r.incomplete = r.incomplete, nil
+	a.collect, r.redelegations = r.redelegations, nil
 	for i := range r.parts {
 		p := &r.parts[i]
 		if p.isDone() || p.delegation != nil {
@@ -266,11 +292,19 @@
 }
 
 // acceptAnswer stores a successful answer. A part is answered once, and no two
-// parts may have the same seal.
+// parts may have the same seal. A part of a gathered answer must also be known to be
+// complete; of its records only those are kept that the merged answer can contain.
 func (t *Table) acceptAnswer(r *requestState, p *part, o Answered) {
 	if p.answer != nil {
 		return
 	}
+	if r.gather != nil && o.IsSuccess() {
+		if o.Unframed {
+			p.reason = fault.ReasonTruncated
+			return
+		}
+		o.Body, o.Header = r.trimToTop(o.Body), nil
+	}
 	if !o.IsSuccess() || r.isDuplicate(o.Seal) {
 		p.failure = &o
 		p.reason = fault.ReasonInternal
--- a/route/snapshot.go
+++ b/route/snapshot.go
@@ -15,27 +15,15 @@
 // shards, and among equals the newest. Versions whose partition map is known for
 // all services with a live replica come first: with any other version, the
 // coverage would count the shards of the manifest instead of the version's. A
-// service without a live replica is ignored, since it may never report its map.
-// Snapshot returns false if no version is known.
+// service without a live replica is ignored, since it may never report its map,
+// unless none has one: a replica that is down is live again only after a query has
+// asked it. Snapshot returns false if no version is known.
 func (t *Table) Snapshot(view *config.View, services []string, now time.Time) (shard.Version, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.coverageSums = t.coverageSums[:0]
-	live := 0
-	for _, name := range services {
-		service, ok := view.Service(name)
-		if !ok {
-			continue
-		}
-		replicas := t.replicaSet(view, service)
-		if replicas.hasLive() {
-			live++
-		} else {
-			continue
-		}
-		for _, s := range replicas.coverageByVersion(now) {
-			t.addCoverage(s)
-		}
+	live := t.sumCoverage(view, services, true, now)
+	if live == 0 {
+		live = t.sumCoverage(view, services, false, now)
 	}
 	var best versionCoverage
 	for _, s := range t.coverageSums {
@@ -52,6 +40,28 @@
 	return best.version, len(t.coverageSums) > 0
 }
 
+// sumCoverage sets coverageSums to the coverage of each version over the services, or
+// over those of them with a live replica, and returns the number of these services.
+func (t *Table) sumCoverage(view *config.View, services []string, liveOnly bool, now time.Time) int {
+	t.coverageSums = t.coverageSums[:0]
+	count := 0
+	for _, name := range services {
+		service, ok := view.Service(name)
+		if !ok {
+			continue
+		}
+		replicas := t.replicaSet(view, service)
+		if liveOnly && !replicas.hasLive() {
+			continue
+		}
+		count++
+		for _, s := range replicas.coverageByVersion(now) {
+			t.addCoverage(s)
+		}
+	}
+	return count
+}
+
 func (t *Table) addCoverage(s versionCoverage) {
 	for i := range t.coverageSums {
 		if t.coverageSums[i].version == s.version {
--- a/rules/view.go
+++ b/rules/view.go
@@ -49,6 +49,16 @@
 	return nil, false
 }
 
+// Route returns a route by name.
+func (v *View) Route(name string) (*Route, bool) {
+	for i := range v.Set.Routes {
+		if v.Set.Routes[i].Name == name {
+			return &v.Set.Routes[i], true
+		}
+	}
+	return nil, false
+}
+
 // Service returns a service by name.
 func (v *View) Service(name string) (*Service, bool) {
 	s, ok := v.services[name]
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -32,6 +32,8 @@
 	// Seeds are the peer addresses of hosts from which a starting host may learn
 	// of the others.
 	Seeds []string
+	// Together means that all hosts of the tier start for the first time.
+	Together bool
 	// MemoryMB is the memory limit of the process in MB; zero sets none.
 	MemoryMB int
 	Stop     RelayStop
@@ -53,7 +55,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, store, the list seeds, the numbers cores and memory and the objects stop (grace) and budget (ratio, burst, window)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, store, the list seeds, the boolean first, the numbers cores and memory and the objects stop (grace) and budget (ratio, burst, window)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -69,6 +71,7 @@
 	Store  string   `json:"store"`
 	Seeds  []string `json:"seeds"`
 	Memory int      `json:"memory"`
+	First  bool     `json:"first"`
 	Stop   struct {
 		Grace *float64 `json:"grace"`
 	} `json:"stop"`
@@ -122,6 +125,7 @@
 		MilliCores:    int(decoded.Cores * 1000),
 		StoreAddr:     decoded.Store,
 		Seeds:         decoded.Seeds,
+		Together:      decoded.First,
 		MemoryMB:      decoded.Memory,
 		Stop:          RelayStop{Grace: seconds(grace)},
 		Budget:        RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -43,8 +43,12 @@
 // drain later.
 func (d *deployment) recordDisturbance() { d.executions.lastDisturbance.Store(time.Now().UnixNano()) }
 
+// firstServerPort is the first port of the backend servers. All fixed ports of this
+// package are below those that the tests of package cmds reserve, from 25000 on.
+const firstServerPort = 22000
+
 func newDeployment(t *testing.T, binary string) *deployment {
-	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: 22000}
+	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: firstServerPort}
 	var err error
 	d.store, err = newStore("127.0.0.1:21900")
 	require.NoError(t, err)
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -63,6 +63,8 @@
 	CutOffZones int
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
+	// Panics is the number of panics that ended a request or a job.
+	Panics uint64
 }
 
 // RouteMetrics holds the instruments of an entry host that serves operators' routes.
@@ -112,6 +114,7 @@
 		{"hyssophub.tier.servers", "Registered backend servers.", func(t TierState) int64 { return int64(t.Servers) }},
 		{"hyssophub.tier.cut_zones", "Availability zones taken to be cut off.", func(t TierState) int64 { return int64(t.CutOffZones) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
+		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
 	instruments := make([]metric.Observable, len(gauges))
 	observers := make([]metric.Int64ObservableGauge, len(gauges))
--- a/trial/backend.go
+++ b/trial/backend.go
@@ -9,6 +9,7 @@
 	"hyssophub/config"
 	"hyssophub/fault"
 	"hyssophub/shard"
+	"hyssophub/work"
 )
 
 // Backends holds the models of all backend servers of a deployment.
@@ -134,7 +135,7 @@
 		shards := b.partitions[s.service.Name][r.Version]
 		added := shard.VersionShards{Version: r.Version, All: shards, Shards: shards}
 		at := time.Duration(b.rng.Float64() * float64(r.Over))
-		time.AfterFunc(at, func() { s.setVersions(append(slices.Clone(s.heldVersions()), added)) })
+		time.AfterFunc(work.TimerDelay(at), func() { s.setVersions(append(slices.Clone(s.heldVersions()), added)) })
 		time.AfterFunc(at+r.KeepOld, func() { s.setVersions([]shard.VersionShards{added}) })
 	}
 }
--- a/trial/run.go
+++ b/trial/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hyssophub/config"
+	"hyssophub/work"
 )
 
 // Names of the policies that a script runs with.
@@ -31,7 +32,7 @@
 	l := newLoad(script, manifest, backends, hosts)
 	observers := newObservers(l, network, hosts)
 	for _, e := range script.Events {
-		time.AfterFunc(e.At, func() {
+		time.AfterFunc(work.TimerDelay(e.At), func() {
 			for _, o := range observers {
 				o.observe(e.Action)
 			}
--- a/trial/server.go
+++ b/trial/server.go
@@ -12,6 +12,7 @@
 	"hyssophub/config"
 	"hyssophub/fault"
 	"hyssophub/shard"
+	"hyssophub/work"
 )
 
 // Constants of the backend model.
@@ -157,7 +158,7 @@
 		s.silentConns[caller]--
 		s.mu.Unlock()
 		select {
-		case <-time.After(time.Until(deadline)):
+		case <-time.After(work.TimerDelay(time.Until(deadline))):
 		case <-ctx.Done():
 		}
 		s.mu.Lock()
@@ -300,7 +301,7 @@
 // awaitSlot blocks until the request is granted a slot, and returns false if the
 // deadline passes first.
 func (s *Server) awaitSlot(granted chan struct{}, deadline time.Time) bool {
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(work.TimerDelay(time.Until(deadline)))
 	defer timer.Stop()
 	select {
 	case <-granted:
--- a/work/bench_test.go
+++ b/work/bench_test.go
@@ -11,7 +11,7 @@
 // a worker and waiting for its end.
 func BenchmarkPool(b *testing.B) {
 	var done sync.WaitGroup
-	p := NewPool(8, 1<<16, func(int) { done.Done() })
+	p := NewPool(8, 1<<16, func(int) { done.Done() }, Recovery[int]{})
 	b.ReportAllocs()
 	for b.Loop() {
 		done.Add(1)
--- a/work/pool.go
+++ b/work/pool.go
@@ -23,6 +23,7 @@
 // queue.
 type Pool[J any] struct {
 	handle     func(J)
+	recovery   Recovery[J]
 	maxWorkers int
 	queueLimit int
 
@@ -40,8 +41,8 @@
 
 // NewPool returns a pool of at most the given number of workers, which call
 // handle for each job. Each class queues at most limit jobs.
-func NewPool[J any](workers, limit int, handle func(J)) *Pool[J] {
-	p := &Pool[J]{handle: handle, maxWorkers: workers, queueLimit: limit}
+func NewPool[J any](workers, limit int, handle func(J), recovery Recovery[J]) *Pool[J] {
+	p := &Pool[J]{handle: handle, recovery: recovery, maxWorkers: workers, queueLimit: limit}
 	p.jobReady = sync.NewCond(&p.mu)
 	return p
 }
@@ -92,7 +93,7 @@
 		if !ok {
 			return
 		}
-		p.handle(job)
+		p.perform(job)
 	}
 }
 
--- a/work/pool_test.go
+++ b/work/pool_test.go
@@ -26,7 +26,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			order = append(order, name)
-		})
+		}, Recovery[string]{})
 		require.NoError(t, p.Submit(shard.Routine, "block"))
 		synctest.Wait()
 		require.NoError(t, p.Submit(shard.Routine, "routine-1"))
@@ -49,7 +49,7 @@
 			if block {
 				<-unblock
 			}
-		})
+		}, Recovery[bool]{})
 		require.Zero(t, p.started)
 		for range 5 {
 			require.NoError(t, p.Submit(shard.Routine, false))
@@ -65,3 +65,34 @@
 		p.Close()
 	})
 }
+
+// TestPanicEndsOnlyItsJob guards against one unexpected error that takes down the
+// process, and against a worker or a caller that is lost with the job.
+func TestPanicEndsOnlyItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reported, ended []string
+		p := NewPool(1, 10, func(name string) {
+			if name != "sound" {
+				panic(name)
+			}
+			ended = append(ended, name)
+		}, Recovery[string]{
+			Report: func(p Panic) {
+				require.NotEmpty(t, p.Stack)
+				reported = append(reported, p.Value.(string))
+			},
+			End: func(name string) {
+				ended = append(ended, name)
+				if name == "twice" {
+					panic("end")
+				}
+			},
+		})
+		for _, name := range []string{"once", "twice", "sound"} {
+			require.NoError(t, p.Submit(shard.Routine, name))
+		}
+		p.Close()
+		require.Equal(t, []string{"once", "twice", "end"}, reported)
+		require.Equal(t, []string{"once", "twice", "sound"}, ended)
+	})
+}
