--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -26,6 +26,7 @@
 	"hyssophub/rules"
 	"hyssophub/setup"
 	"hyssophub/stats"
+	"hyssophub/work"
 )
 
 const (
@@ -86,6 +87,11 @@
 	peerListener    *listener
 
 	started time.Time
+	// speedBlock is the input and speedSum the last result of measureSpeed.
+	speedBlock [64 << 10]byte
+	speedSum   uint64
+	// panics counts the panics of requests and jobs.
+	panics atomic.Uint64
 
 	stopping atomic.Bool
 	ctx      context.Context
@@ -109,13 +115,13 @@
 	}
 	r.clientListener.server.IdleTimeout = clientIdleTimeout
 	r.clientListener.server.ConnContext = withClientConn
-	r.clientListener.serve(platform.NewHandler(server{r}))
+	r.clientListener.serve(recoverPanics(r.reportPanic, platform.NewHandler(server{r})))
 	r.readyListener.serve(http.HandlerFunc(r.serveReadiness))
 	r.metricsListener.serve(r.stats.Handler())
-	r.peerListener.serve(peer.NewRelayHandler(relayHandler{r}))
-	r.peers.heartbeats.Start(r.receiveHeartbeat)
-	r.permits.Start(permitHandler{r})
-	r.syncer.Start()
+	r.peerListener.serve(recoverPanics(r.reportPanic, peer.NewRelayHandler(relayHandler{r})))
+	r.peers.heartbeats.Start(r.receiveHeartbeat, r.reportPanic)
+	r.permits.Start(permitHandler{r}, r.reportPanic)
+	r.syncer.Start(r.settings.Together)
 	r.jobs.Go(r.sendHeartbeats)
 	r.jobs.Go(r.askForPermits)
 	r.jobs.Go(r.probeZones)
@@ -148,14 +154,15 @@
 	}
 	r.relayTable = relay.NewTable(r.rules, r.fleet, r.hosts, relay.BudgetLimits(r.settings.Budget), assumedHosts)
 	r.backends = dial.NewClient()
-	r.engine = relay.NewEngine(r.rules, r.relayTable, platform.NewBackend(r.backends), r.peers.client, relay.Options{
+	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
 		Host:       r.settings.Name,
 		Workers:    relayWorkers,
 		QueueLimit: relayQueue,
 		OnNotice:   r.logNotice,
+		OnPanic:    r.reportPanic,
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
-	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed))
+	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
 	r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats)
 	return err
 }
@@ -247,7 +254,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			r.backends.RetainAddresses(r.fleet.Addresses())
+			work.Guard(r.reportPanic, func() { r.backends.RetainAddresses(r.fleet.Addresses()) })
 		case <-r.ctx.Done():
 			return
 		}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -117,6 +117,7 @@
 		Paused:      bounded.Paused,
 		Leaving:     bounded.Leaving,
 		Dropped:     r.droppedLines(),
+		Panics:      r.panics.Load(),
 	}
 }
 
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -10,6 +10,7 @@
 
 	"hyssophub/flow"
 	"hyssophub/peer/peerpb"
+	"hyssophub/work"
 )
 
 // PermitHandler handles the datagrams of other hosts about permits to send requests
@@ -43,8 +44,9 @@
 }
 
 // Start passes the received datagrams to handler until Close, and sends the grants
-// that it returns. Datagrams that cannot be decoded are dropped.
-func (s *PermitSocket) Start(handler PermitHandler) {
+// that it returns. Datagrams that cannot be decoded are dropped. A panic is reported to
+// onPanic.
+func (s *PermitSocket) Start(handler PermitHandler, onPanic func(work.Panic)) {
 	s.receive(func(data []byte, from netip.AddrPort) {
 		var msg peerpb.Datagram
 		if err := proto.Unmarshal(data, &msg); err != nil {
@@ -67,7 +69,7 @@
 		if data, err := proto.Marshal(reply); err == nil {
 			_, _ = s.conn.WriteToUDPAddrPort(data, from)
 		}
-	})
+	}, onPanic)
 }
 
 // Send sends a batch of asks.
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -44,7 +44,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, socket.Close()) })
 	handler := newPermitRecorder()
-	socket.Start(handler)
+	socket.Start(handler, nil)
 	return socket, handler
 }
 
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -48,13 +48,17 @@
 // hasReachable reports whether the given fraction of the services has instances
 // in availability zones that this host reaches.
 func (t *Table) hasReachable(scope fleet.Constraints, services []string, minShare float64, now time.Time) bool {
-	reachable := 0
-	for _, s := range services {
-		if len(t.fleet.HealthyZones(scope, s, now)) > 0 {
-			reachable++
+	reachable := make([]bool, len(services))
+	count := 0
+	for _, servable := range t.fleet.ServableByZone(scope, services, now) {
+		for _, i := range servable {
+			if !reachable[i] {
+				reachable[i] = true
+				count++
+			}
 		}
 	}
-	return float64(reachable) >= minShare*float64(len(services))
+	return float64(count) >= minShare*float64(len(services))
 }
 
 // CanServe reports whether this host can serve requests on all routes: either
--- a/relay/send.go
+++ b/relay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -36,7 +37,7 @@
 		if extra {
 			t.budget(p.service).refund(now, t.limits)
 		}
-		p.clearTried()
+		p.clearExcluded()
 		p.pausedUntil = now.Add(retryPause)
 		a.wakeBy(p.pausedUntil)
 	}
@@ -81,7 +82,7 @@
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
 	scope.TargetLatency, scope.HealthyOnly, scope.Again = r.request.Route.TargetLatency, healthyOnly, p.unchosen
-	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried, now)
+	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried[p.excludedFrom:], now)
 	if !ok {
 		r.recordRefusal(refusal)
 		p.reason = cmp.Or(refusal.Reason, p.reason)
@@ -102,6 +103,7 @@
 			Message:  r.request.Message,
 			Deadline: r.end,
 			Fresh:    !r.isRepeatable(),
+			Again:    slices.Contains(p.tried, choice.ID),
 		},
 	}
 	p.open = append(p.open, x)
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -69,6 +69,8 @@
 	Leaving int
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
+	// Panics is the number of panics that ended a request or a job.
+	Panics uint64
 }
 
 // RouteMetrics holds the instruments of an entry host that serves operators' routes.
@@ -121,6 +123,7 @@
 		{"hyssophub.tier.paused", "Backend servers that want no request from this host at present.", func(t TierState) int64 { return int64(t.Paused) }},
 		{"hyssophub.tier.leaving", "Backend servers that said that they are shutting down.", func(t TierState) int64 { return int64(t.Leaving) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
+		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
 	instruments := make([]metric.Observable, len(gauges))
 	observers := make([]metric.Int64ObservableGauge, len(gauges))
