Tell all hosts of a server's rate limit when one reads it

Each host sent one request without a permit before it read a limit itself. The host that reads a limit first now tells its zone, and one host of each other zone tells that zone, as for servers that leave.

--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -12,7 +12,7 @@
 const minAskPause = 20 * time.Millisecond
 
 // askForPermits asks the owners of rate limits for permits, and tells other hosts which
-// servers leave, until the host closes.
+// servers leave or name a limit, until the host closes.
 func (r *Relay) askForPermits() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -32,7 +32,7 @@
 		}
 		for _, n := range r.bounds.News() {
 			if err := r.permits.SendNews(n); err != nil {
-				r.log.Debug().Err(err).Msg("news of leaving servers not sent")
+				r.log.Debug().Err(err).Msg("news of servers not sent")
 			}
 		}
 		pause := time.NewTimer(minAskPause)
@@ -65,10 +65,10 @@
 }
 
 // Tell implements peer.PermitHandler.
-func (h permitHandler) Tell(host string, leaving []flow.Server, relay bool) []flow.News {
-	news, changes := h.bounds.Tell(host, leaving, relay)
+func (h permitHandler) Tell(host string, news flow.News) []flow.News {
+	relayed, changes := h.bounds.Tell(host, news, time.Now())
 	h.logNotices(changes)
-	return news
+	return relayed
 }
 
 // updateMembers tells the table of rate limits which hosts are known, and the other
--- a/flow/model_test.go
+++ b/flow/model_test.go
@@ -171,6 +171,11 @@
 			m.request(h)
 		}
 	}
+	for _, n := range h.table.News() {
+		for _, address := range n.Addresses {
+			m.deliver(h, address, func(to *modelHost) { m.tell(to, h.Name, n) })
+		}
+	}
 	batches, _ := h.table.Asks(m.now)
 	for _, b := range batches {
 		m.deliver(h, b.Address, func(owner *modelHost) {
@@ -180,6 +185,16 @@
 	}
 }
 
+// tell delivers news to a host, which may pass them on.
+func (m *model) tell(to *modelHost, from string, n News) {
+	relayed, _ := to.table.Tell(from, n, m.now)
+	for _, r := range relayed {
+		for _, address := range r.Addresses {
+			m.deliver(to, address, func(h *modelHost) { m.tell(h, to.Name, r) })
+		}
+	}
+}
+
 func (m *model) members(h *modelHost) []Member {
 	self := h.Member
 	self.Live = true
--- a/flow/news.go
+++ b/flow/news.go
@@ -3,33 +3,45 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
-// News tells other hosts which servers said that they leave. Relay asks the receiver
-// to pass the news on in its zone.
+// News tells other hosts which servers said that they leave, and which named a rate
+// limit. Relay asks the receiver to pass the news on in its zone.
 type News struct {
 	Addresses []string
 	Relay     bool
 	Leaving   []Server
+	Limited   []ServerLimit
+}
+
+// ServerLimit is what is known of the rate limit of a server.
+type ServerLimit struct {
+	Server Server
+	Limit  Limit
 }
 
 // News returns what to tell other hosts now: all live hosts of the own zone, and one of
 // each other zone, which passes it on there, since bytes between zones are expensive.
 // Its datagrams may be lost; a host that is not told learns it from the server's next
-// answer.
+// answer. Without them each host would send one more request to a server to learn of
+// its limit, which hundreds of hosts do at a limit of one request a second.
 func (t *Table) News() []News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	self := t.members[t.self]
-	if len(t.news) == 0 || self == nil {
+	if len(t.leavingNews)+len(t.limitNews) == 0 || self == nil {
 		return nil
 	}
-	leaving := t.news[:min(len(t.news), maxAsks)]
-	t.news = slices.Clone(t.news[len(leaving):])
-	if len(t.news) > 0 {
+	own := News{
+		Leaving: t.leavingNews[:min(len(t.leavingNews), maxAsks/2)],
+		Limited: t.limitNews[:min(len(t.limitNews), maxAsks/2)],
+	}
+	t.leavingNews = slices.Clone(t.leavingNews[len(own.Leaving):])
+	t.limitNews = slices.Clone(t.limitNews[len(own.Limited):])
+	if len(t.leavingNews)+len(t.limitNews) > 0 {
 		t.wakeUp()
 	}
-	own := News{Leaving: leaving}
 	var others []*member
 	for _, m := range t.members {
 		switch {
@@ -40,7 +52,9 @@
 			others = append(others, m)
 		}
 	}
-	return []News{own, {Leaving: leaving, Relay: true, Addresses: t.oneOfEachZone(others)}}
+	relayed := own
+	relayed.Relay, relayed.Addresses = true, t.oneOfEachZone(others)
+	return []News{own, relayed}
 }
 
 // oneOfEachZone returns the address of a random host of each zone.
@@ -56,13 +70,18 @@
 	return addresses
 }
 
-// Tell applies news from another host. If relay is set, this host tells the other
+// Tell applies news from another host. If Relay is set, this host tells the other
 // hosts of its zone.
-func (t *Table) Tell(from string, leaving []Server, relay bool) ([]News, []Change) {
+func (t *Table) Tell(from string, news News, now time.Time) ([]News, []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes []Change
-	for _, server := range leaving {
+	for _, l := range news.Limited {
+		if s := t.state(l.Server); s != nil {
+			changes = append(changes, s.learnFrom(l.Limit, now)...)
+		}
+	}
+	for _, server := range news.Leaving {
 		s := t.state(server)
 		if s == nil || s.leaving {
 			continue
@@ -71,10 +90,10 @@
 		changes = append(changes, LeavingNamed{Server: server, From: from})
 	}
 	self := t.members[t.self]
-	if !relay || self == nil {
+	if !news.Relay || self == nil {
 		return nil, changes
 	}
-	n := News{Leaving: leaving}
+	n := News{Leaving: news.Leaving, Limited: news.Limited}
 	for _, m := range t.members {
 		if m.Live && m.Zone == self.Zone && m.Name != t.self {
 			n.Addresses = append(n.Addresses, m.Address)
--- a/flow/signal_test.go
+++ b/flow/signal_test.go
@@ -51,7 +51,13 @@
 		s.table.Forget(server(t, d).ID)
 		s.table.SetMembers(nil, s.now)
 	case "told":
-		news, changes := s.table.Tell("other", []Server{server(t, d)}, d.HasArg("relay"))
+		told := News{Relay: d.HasArg("relay")}
+		if n := notice(t, d); n.Limited {
+			told.Limited = []ServerLimit{{Server: server(t, d), Limit: Limit{Named: true, Rate: n.Rate, SaidAt: s.now}}}
+		} else {
+			told.Leaving = []Server{server(t, d)}
+		}
+		news, changes := s.table.Tell("other", told, s.now)
 		return show(changes, s.start) + showNews(news)
 	case "news":
 		return showNews(s.table.News())
--- a/flow/table.go
+++ b/flow/table.go
@@ -25,8 +25,10 @@
 	epoch uint64
 	// asked counts the sets of asks that were sent.
 	asked uint64
-	// news are the servers that said that they leave, to be told to other hosts.
-	news []Server
+	// leavingNews and limitNews are what servers said first to this host, to be told to
+	// other hosts.
+	leavingNews []Server
+	limitNews   []ServerLimit
 }
 
 // state is what is known of one server.
@@ -135,7 +137,7 @@
 	if notice.Leaving && !s.leaving {
 		s.leaving = true
 		changes = append(changes, LeavingNamed{Server: s.server})
-		t.news = append(t.news, s.server)
+		t.leavingNews = append(t.leavingNews, s.server)
 		t.wakeUp()
 	}
 	return changes
@@ -148,7 +150,11 @@
 		// became known shows that the limit has ended.
 		return nil
 	}
+	wasNamed := s.limit.named
 	changes := s.setLimit(notice.Limited, notice.Rate, now, now)
+	if s.limit.named && !wasNamed {
+		t.limitNews = append(t.limitNews, ServerLimit{Server: s.server, Limit: s.known()})
+	}
 	if len(changes) > 0 {
 		// The owner of the limit is told at once.
 		s.ask.next = now
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -21,7 +21,7 @@
 	// Accept applies the grants that answer the batch of asks with the given number.
 	Accept(number uint64, grants []flow.Grant)
 	// Tell applies news from a host, and returns those to pass on.
-	Tell(host string, leaving []flow.Server, relay bool) []flow.News
+	Tell(host string, news flow.News) []flow.News
 }
 
 // PermitSocket sends and receives asks for permits, the grants that answer them, and
@@ -53,8 +53,8 @@
 			return
 		}
 		now := time.Now()
-		if len(msg.GetLeaving()) > 0 {
-			for _, n := range handler.Tell(msg.GetHost(), decodeServers(msg.GetLeaving()), msg.GetRelay()) {
+		if len(msg.GetLeaving())+len(msg.GetLimited()) > 0 {
+			for _, n := range handler.Tell(msg.GetHost(), decodeNews(&msg, now)) {
 				_ = s.SendNews(n)
 			}
 		}
@@ -98,7 +98,10 @@
 // SendNews sends news to their addresses. It tries all of them and returns the last
 // error.
 func (s *PermitSocket) SendNews(n flow.News) error {
-	msg := &peerpb.Datagram{Host: s.host, Relay: n.Relay}
+	msg, now := &peerpb.Datagram{Host: s.host, Relay: n.Relay}, time.Now()
+	for _, l := range n.Limited {
+		msg.Limited = append(msg.Limited, &peerpb.Ask{Server: encodeServer(l.Server), Limit: encodeLimit(l.Limit, now)})
+	}
 	for _, server := range n.Leaving {
 		msg.Leaving = append(msg.Leaving, encodeServer(server))
 	}
@@ -138,14 +141,17 @@
 	return flow.Server{ID: msg.GetId(), StartMs: msg.GetStart(), Zone: msg.GetZone()}
 }
 
-func decodeServers(list []*peerpb.Server) []flow.Server {
-	servers := make([]flow.Server, 0, len(list))
-	for _, msg := range list {
-		if msg.GetId() != "" {
-			servers = append(servers, decodeServer(msg))
+func decodeNews(msg *peerpb.Datagram, now time.Time) flow.News {
+	n := flow.News{Relay: msg.GetRelay()}
+	for _, server := range msg.GetLeaving() {
+		if server.GetId() != "" {
+			n.Leaving = append(n.Leaving, decodeServer(server))
 		}
 	}
-	return servers
+	for _, a := range decodeAsks(msg.GetLimited(), now) {
+		n.Limited = append(n.Limited, flow.ServerLimit{Server: a.Server, Limit: a.Limit})
+	}
+	return n
 }
 
 func encodeLimit(l flow.Limit, now time.Time) *peerpb.Limit {
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -32,8 +32,8 @@
 	return grants
 }
 
-func (r permitRecorder) Tell(_ string, leaving []flow.Server, relay bool) []flow.News {
-	r.told <- flow.News{Leaving: leaving, Relay: relay}
+func (r permitRecorder) Tell(_ string, news flow.News) []flow.News {
+	r.told <- news
 	return nil
 }
 
@@ -79,11 +79,14 @@
 	require.Equal(t, 3, granted[0].Permits)
 	require.Equal(t, 250*time.Millisecond, granted[0].Wait)
 	require.Equal(t, "other", granted[0].Owner)
-	news := flow.News{Addresses: []string{owner.conn.LocalAddr().String()}, Relay: true, Leaving: []flow.Server{ask.Server}}
+	news := flow.News{Addresses: []string{owner.conn.LocalAddr().String()}, Relay: true, Leaving: []flow.Server{ended.Server}, Limited: []flow.ServerLimit{{Server: ask.Server, Limit: ask.Limit}}}
 	require.NoError(t, asking.SendNews(news))
 	told := <-ownerHandler.told
 	require.Equal(t, news.Leaving, told.Leaving)
 	require.True(t, told.Relay)
+	require.Len(t, told.Limited, 1)
+	require.Equal(t, ask.Server, told.Limited[0].Server)
+	require.InDelta(t, ask.Limit.Rate, told.Limited[0].Limit.Rate, 0)
 }
 
 // TestMalformedPermitsAreDropped guards against datagrams that end the process, or that
