Split flow by concern and call its messages announcements

One file held the table, what servers say, and admission. No behaviour changes; the tests are those of before, with one script and its command renamed.

--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -30,9 +30,9 @@
 				r.log.Debug().Err(err).Msg("asks for permits not sent")
 			}
 		}
-		for _, n := range r.bounds.News() {
-			if err := r.permits.SendNews(n); err != nil {
-				r.log.Debug().Err(err).Msg("news of servers not sent")
+		for _, n := range r.bounds.Announcements() {
+			if err := r.permits.Announce(n); err != nil {
+				r.log.Debug().Err(err).Msg("announcement not sent")
 			}
 		}
 		pause := time.NewTimer(minAskPause)
@@ -65,8 +65,8 @@
 }
 
 // Tell implements peer.PermitHandler.
-func (h permitHandler) Tell(host string, news flow.News) []flow.News {
-	relayed, changes := h.bounds.Tell(host, news, time.Now())
+func (h permitHandler) Tell(host string, announced flow.Announcement) []flow.Announcement {
+	relayed, changes := h.bounds.Tell(host, announced, time.Now())
 	h.logNotices(changes)
 	return relayed
 }
--- a/flow/news.go
+++ b/flow/announce.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// News tells other hosts which servers said that they leave, and which named a rate
-// limit. Relay asks the receiver to pass the news on in its zone.
-type News struct {
+// Announcement tells other hosts which servers said that they leave, and which named a
+// rate limit. Relay asks the receiver to pass it on in its zone.
+type Announcement struct {
 	Addresses []string
 	Relay     bool
 	Leaving   []Server
@@ -21,25 +21,25 @@
 	Limit  Limit
 }
 
-// News returns what to tell other hosts now: all live hosts of the own zone, and one of
-// each other zone, which passes it on there, since bytes between zones are expensive.
-// Its datagrams may be lost; a host that is not told learns it from the server's next
+// Announcements returns what to tell other hosts now: all live hosts of the own zone,
+// and one of each other zone, which passes it on there, since bytes between zones are
+// expensive. Datagrams may be lost; a host that is not told learns it from the server's next
 // answer. Without them each host would send one more request to a server to learn of
 // its limit, which hundreds of hosts do at a limit of one request a second.
-func (t *Table) News() []News {
+func (t *Table) Announcements() []Announcement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	self := t.members[t.self]
-	if len(t.leavingNews)+len(t.limitNews) == 0 || self == nil {
+	if len(t.newlyLeaving)+len(t.newlyLimited) == 0 || self == nil {
 		return nil
 	}
-	own := News{
-		Leaving: t.leavingNews[:min(len(t.leavingNews), maxAsks/2)],
-		Limited: t.limitNews[:min(len(t.limitNews), maxAsks/2)],
+	own := Announcement{
+		Leaving: t.newlyLeaving[:min(len(t.newlyLeaving), maxAsks/2)],
+		Limited: t.newlyLimited[:min(len(t.newlyLimited), maxAsks/2)],
 	}
-	t.leavingNews = slices.Clone(t.leavingNews[len(own.Leaving):])
-	t.limitNews = slices.Clone(t.limitNews[len(own.Limited):])
-	if len(t.leavingNews)+len(t.limitNews) > 0 {
+	t.newlyLeaving = slices.Clone(t.newlyLeaving[len(own.Leaving):])
+	t.newlyLimited = slices.Clone(t.newlyLimited[len(own.Limited):])
+	if len(t.newlyLeaving)+len(t.newlyLimited) > 0 {
 		t.wakeUp()
 	}
 	var others []*member
@@ -54,7 +54,7 @@
 	}
 	relayed := own
 	relayed.Relay, relayed.Addresses = true, t.oneOfEachZone(others)
-	return []News{own, relayed}
+	return []Announcement{own, relayed}
 }
 
 // oneOfEachZone returns the address of a random host of each zone.
@@ -70,18 +70,18 @@
 	return addresses
 }
 
-// Tell applies news from another host. If Relay is set, this host tells the other
-// hosts of its zone.
-func (t *Table) Tell(from string, news News, now time.Time) ([]News, []Change) {
+// Tell applies an announcement of another host. If Relay is set, this host tells the
+// other hosts of its zone.
+func (t *Table) Tell(from string, announced Announcement, now time.Time) ([]Announcement, []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes []Change
-	for _, l := range news.Limited {
+	for _, l := range announced.Limited {
 		if s := t.state(l.Server); s != nil {
 			changes = append(changes, s.learnFrom(l.Limit, now)...)
 		}
 	}
-	for _, server := range news.Leaving {
+	for _, server := range announced.Leaving {
 		s := t.state(server)
 		if s == nil || s.leaving {
 			continue
@@ -90,14 +90,14 @@
 		changes = append(changes, LeavingNamed{Server: server, From: from})
 	}
 	self := t.members[t.self]
-	if !news.Relay || self == nil {
+	if !announced.Relay || self == nil {
 		return nil, changes
 	}
-	n := News{Leaving: news.Leaving, Limited: news.Limited}
+	n := Announcement{Leaving: announced.Leaving, Limited: announced.Limited}
 	for _, m := range t.members {
 		if m.Live && m.Zone == self.Zone && m.Name != t.self {
 			n.Addresses = append(n.Addresses, m.Address)
 		}
 	}
-	return []News{n}, changes
+	return []Announcement{n}, changes
 }
--- a/flow/model_test.go
+++ b/flow/model_test.go
@@ -171,7 +171,7 @@
 			m.request(h)
 		}
 	}
-	for _, n := range h.table.News() {
+	for _, n := range h.table.Announcements() {
 		for _, address := range n.Addresses {
 			m.deliver(h, address, func(to *modelHost) { m.tell(to, h.Name, n) })
 		}
@@ -185,8 +185,8 @@
 	}
 }
 
-// tell delivers news to a host, which may pass them on.
-func (m *model) tell(to *modelHost, from string, n News) {
+// tell delivers an announcement to a host, which may pass it on.
+func (m *model) tell(to *modelHost, from string, n Announcement) {
 	relayed, _ := to.table.Tell(from, n, m.now)
 	for _, r := range relayed {
 		for _, address := range r.Addresses {
--- a/flow/signal_test.go
+++ b/flow/signal_test.go
@@ -51,16 +51,16 @@
 		s.table.Forget(server(t, d).ID)
 		s.table.SetMembers(nil, s.now)
 	case "told":
-		told := News{Relay: d.HasArg("relay")}
+		told := Announcement{Relay: d.HasArg("relay")}
 		if n := notice(t, d); n.Limited {
 			told.Limited = []ServerLimit{{Server: server(t, d), Limit: Limit{Named: true, Rate: n.Rate, SaidAt: s.now}}}
 		} else {
 			told.Leaving = []Server{server(t, d)}
 		}
-		news, changes := s.table.Tell("other", told, s.now)
-		return show(changes, s.start) + showNews(news)
-	case "news":
-		return showNews(s.table.News())
+		relayed, changes := s.table.Tell("other", told, s.now)
+		return show(changes, s.start) + showAnnouncements(relayed)
+	case "announce":
+		return showAnnouncements(s.table.Announcements())
 	case "check":
 		return check(s.table.Check(server(t, d), s.now), s.now)
 	case "counts":
@@ -108,9 +108,9 @@
 	return b.String()
 }
 
-func showNews(news []News) string {
+func showAnnouncements(list []Announcement) string {
 	var b strings.Builder
-	for _, n := range news {
+	for _, n := range list {
 		_, _ = fmt.Fprintf(&b, "tell %d hosts, relay %t\n", len(n.Addresses), n.Relay)
 	}
 	return b.String()
--- a/flow/table.go
+++ b/flow/table.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,10 +24,10 @@
 	epoch uint64
 	// asked counts the sets of asks that were sent.
 	asked uint64
-	// leavingNews and limitNews are what servers said first to this host, to be told to
+	// newlyLeaving and newlyLimited are what servers said first to this host, to be told to
 	// other hosts.
-	leavingNews []Server
-	limitNews   []ServerLimit
+	newlyLeaving []Server
+	newlyLimited []ServerLimit
 }
 
 // state is what is known of one server.
@@ -118,77 +117,6 @@
 	}
 }
 
-// Learn applies what a server said in an answer that arrived now, to a request that
-// was sent at the given time, and returns what changed.
-func (t *Table) Learn(server Server, notice Notice, sent, now time.Time) []Change {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if notice.isEmpty() && t.servers[server.ID] == nil {
-		return nil
-	}
-	s := t.state(server)
-	if s == nil {
-		return nil
-	}
-	changes := t.learnLimit(s, notice, sent, now)
-	if notice.Pause > 0 {
-		changes = append(changes, t.pause(s, notice.Pause, now)...)
-	}
-	if notice.Leaving && !s.leaving {
-		s.leaving = true
-		changes = append(changes, LeavingNamed{Server: s.server})
-		t.leavingNews = append(t.leavingNews, s.server)
-		t.wakeUp()
-	}
-	return changes
-}
-
-// learnLimit applies the rate limit in a notice.
-func (t *Table) learnLimit(s *state, notice Notice, sent, now time.Time) []Change {
-	if !notice.Limited && (!s.limit.named || !sent.After(s.limit.namedAt)) {
-		// Answers overtake each other. Only a request that was sent after the limit
-		// became known shows that the limit has ended.
-		return nil
-	}
-	wasNamed := s.limit.named
-	changes := s.setLimit(notice.Limited, notice.Rate, now, now)
-	if s.limit.named && !wasNamed {
-		t.limitNews = append(t.limitNews, ServerLimit{Server: s.server, Limit: s.known()})
-	}
-	if len(changes) > 0 {
-		// The owner of the limit is told at once.
-		s.ask.next = now
-		t.wakeUp()
-	}
-	return changes
-}
-
-const (
-	// maxPause bounds the pauses that servers name. A longer one is more likely a
-	// mistake than a server that will be of use again.
-	maxPause = 10 * time.Minute
-	// The end of a pause is put off by up to pauseSpread of its length, at most
-	// maxPauseSpread, so that the hosts do not return together.
-	pauseSpread    = 0.25
-	maxPauseSpread = time.Second
-)
-
-// pause applies a pause that a server named in a refusal.
-func (t *Table) pause(s *state, named time.Duration, now time.Time) []Change {
-	length := min(named, maxPause)
-	spread := min(time.Duration(pauseSpread*float64(length)), maxPauseSpread)
-	until := now.Add(length + time.Duration(t.random.Float64()*float64(spread)))
-	if !until.After(s.pausedUntil) {
-		return nil
-	}
-	wasPaused := now.Before(s.pausedUntil)
-	s.pausedUntil = until
-	if wasPaused {
-		return nil
-	}
-	return []Change{PauseNamed{Server: s.server, Named: named, Until: until}}
-}
-
 // state returns the entry of a server, adding it if necessary. It returns nil if a
 // later run of the server is known.
 func (t *Table) state(server Server) *state {
@@ -203,31 +131,6 @@
 	return s
 }
 
-// setLimit applies a limit, or its end, that follows from an answer at saidAt.
-func (s *state) setLimit(named bool, rate float64, saidAt, now time.Time) []Change {
-	if saidAt.Before(s.limit.saidAt) {
-		return nil
-	}
-	wasNamed := s.limit.named
-	s.limit.saidAt, s.limit.named, s.limit.rate = saidAt, named, rate
-	switch {
-	case !named && !wasNamed:
-		return nil
-	case !named:
-		return []Change{LimitEnded{Server: s.server}}
-	case !wasNamed:
-		s.limit.namedAt = now
-	case math.Abs(rate-s.limit.reported) <= reportedChange*s.limit.reported:
-		return nil
-	}
-	s.limit.reported = rate
-	return []Change{LimitNamed{Server: s.server, Rate: rate}}
-}
-
-// reportedChange is the relative change of a rate up to which it is not reported, so
-// that a limit that varies with the load does not fill the log.
-const reportedChange = 0.1
-
 // Forget records that a server is no longer registered. What it said is kept for
 // retainGone, in case its registration comes back: it may have lapsed while the store
 // was away.
@@ -260,61 +163,6 @@
 	}
 }
 
-// Admission says whether a request may be sent to a server now. The interface is
-// sealed.
-type Admission interface{ admission() }
-
-type (
-	// Open servers take requests without a permit.
-	Open struct{}
-	// Permitted servers take a request for a permit that this host has.
-	Permitted struct{}
-	// Closed servers take no request from this host before Until. Paused is set if the
-	// server asked for a pause, Cold if a permit is missing because it is cold; otherwise
-	// one is missing because it names a rate limit.
-	Closed struct {
-		Until  time.Time
-		Paused bool
-		Cold   bool
-	}
-	// Ended servers are shutting down and take no request any more.
-	Ended struct{}
-)
-
-func (Open) admission()      {}
-func (Permitted) admission() {}
-func (Closed) admission()    {}
-func (Ended) admission()     {}
-
-// Check reports whether a request may be sent to a server now. It uses no permit.
-func (t *Table) Check(server Server, now time.Time) Admission {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.servers[server.ID]
-	if s == nil || s.server.StartMs != server.StartMs {
-		return Open{}
-	}
-	s.gone = false
-	_, isBounded := s.bound(now)
-	switch {
-	case s.leaving:
-		return Ended{}
-	case now.Before(s.pausedUntil):
-		return Closed{Until: s.pausedUntil, Paused: true}
-	case !isBounded:
-		return Open{}
-	case s.validPermits(now) > 0:
-		return Permitted{}
-	case s.nextPermit.After(now):
-		return Closed{Until: s.nextPermit, Cold: now.Before(s.cold.until)}
-	default:
-		return Closed{Until: now.Add(unknownWait), Cold: now.Before(s.cold.until)}
-	}
-}
-
-// unknownWait is the time until a permit that is named while none is known.
-const unknownWait = 20 * time.Millisecond
-
 // IsEmpty reports whether no server is known to bound its requests.
 func (t *Table) IsEmpty() bool {
 	t.mu.Lock()
@@ -341,63 +189,6 @@
 	}
 }
 
-// boundedState returns the entry of a server if there is a bound on its requests.
-func (t *Table) boundedState(server Server, now time.Time) *state {
-	s := t.servers[server.ID]
-	if s == nil || s.server.StartMs != server.StartMs {
-		return nil
-	}
-	if _, ok := s.bound(now); !ok {
-		return nil
-	}
-	return s
-}
-
-// Send counts a request that is sent to a server now, and uses a permit for it if there
-// is a bound on the server's requests.
-func (t *Table) Send(server Server, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.boundedState(server, now)
-	if s == nil {
-		return
-	}
-	s.wanted.add(now)
-	if s.validPermits(now) > 0 {
-		s.permits[0].count--
-	}
-	t.wakeUp()
-}
-
-// Want records that a request would have been sent to a server, had there been a
-// permit. again is set if the same request wanted one before.
-func (t *Table) Want(server Server, again bool, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.boundedState(server, now)
-	if s == nil {
-		return
-	}
-	s.waitingAt = now
-	if !again {
-		s.wanted.add(now)
-	}
-	t.wakeUp()
-}
-
-// validPermits removes the permits that have ended or were used, and counts the
-// others.
-func (s *state) validPermits(now time.Time) int {
-	for len(s.permits) > 0 && (s.permits[0].count == 0 || !now.Before(s.permits[0].until)) {
-		s.permits = s.permits[1:]
-	}
-	count := 0
-	for _, p := range s.permits {
-		count += p.count
-	}
-	return count
-}
-
 func (t *Table) wakeUp() {
 	select {
 	case t.wake <- struct{}{}:
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -20,12 +20,12 @@
 	Answer(host string, asks []flow.Ask) []flow.Grant
 	// Accept applies the grants that answer the batch of asks with the given number.
 	Accept(number uint64, grants []flow.Grant)
-	// Tell applies news from a host, and returns those to pass on.
-	Tell(host string, news flow.News) []flow.News
+	// Tell applies an announcement of a host, and returns what to pass on.
+	Tell(host string, announced flow.Announcement) []flow.Announcement
 }
 
 // PermitSocket sends and receives asks for permits, the grants that answer them, and
-// news of servers that leave, over UDP. A lost datagram leaves permits unused; the next
+// announcements of what servers said, over UDP. A lost datagram leaves permits unused; the next
 // ask replaces it.
 type PermitSocket struct {
 	*udpSocket
@@ -54,8 +54,8 @@
 		}
 		now := time.Now()
 		if len(msg.GetLeaving())+len(msg.GetLimited()) > 0 {
-			for _, n := range handler.Tell(msg.GetHost(), decodeNews(&msg, now)) {
-				_ = s.SendNews(n)
+			for _, n := range handler.Tell(msg.GetHost(), decodeAnnouncement(&msg, now)) {
+				_ = s.Announce(n)
 			}
 		}
 		if len(msg.GetGrants()) > 0 {
@@ -95,9 +95,9 @@
 	return nil
 }
 
-// SendNews sends news to their addresses. It tries all of them and returns the last
-// error.
-func (s *PermitSocket) SendNews(n flow.News) error {
+// Announce sends an announcement to its addresses. It tries all of them and returns the
+// last error.
+func (s *PermitSocket) Announce(n flow.Announcement) error {
 	msg, now := &peerpb.Datagram{Host: s.host, Relay: n.Relay}, time.Now()
 	for _, l := range n.Limited {
 		msg.Limited = append(msg.Limited, &peerpb.Ask{Server: encodeServer(l.Server), Limit: encodeLimit(l.Limit, now)})
@@ -107,7 +107,7 @@
 	}
 	data, err := proto.Marshal(msg)
 	if err != nil {
-		return oops.Wrapf(err, "news")
+		return oops.Wrapf(err, "announcement")
 	}
 	var last error
 	for _, address := range n.Addresses {
@@ -116,7 +116,7 @@
 			_, err = s.conn.WriteToUDPAddrPort(data, to)
 		}
 		if err != nil {
-			last = oops.Wrapf(err, "send news to %s", address)
+			last = oops.Wrapf(err, "send announcement to %s", address)
 		}
 	}
 	return last
@@ -141,8 +141,8 @@
 	return flow.Server{ID: msg.GetId(), StartMs: msg.GetStart(), Zone: msg.GetZone()}
 }
 
-func decodeNews(msg *peerpb.Datagram, now time.Time) flow.News {
-	n := flow.News{Relay: msg.GetRelay()}
+func decodeAnnouncement(msg *peerpb.Datagram, now time.Time) flow.Announcement {
+	n := flow.Announcement{Relay: msg.GetRelay()}
 	for _, server := range msg.GetLeaving() {
 		if server.GetId() != "" {
 			n.Leaving = append(n.Leaving, decodeServer(server))
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -16,11 +16,11 @@
 type permitRecorder struct {
 	asked   chan []flow.Ask
 	granted chan []flow.Grant
-	told    chan flow.News
+	told    chan flow.Announcement
 }
 
 func newPermitRecorder() permitRecorder {
-	return permitRecorder{asked: make(chan []flow.Ask, 8), granted: make(chan []flow.Grant, 8), told: make(chan flow.News, 8)}
+	return permitRecorder{asked: make(chan []flow.Ask, 8), granted: make(chan []flow.Grant, 8), told: make(chan flow.Announcement, 8)}
 }
 
 func (r permitRecorder) Answer(_ string, asks []flow.Ask) []flow.Grant {
@@ -32,8 +32,8 @@
 	return grants
 }
 
-func (r permitRecorder) Tell(_ string, news flow.News) []flow.News {
-	r.told <- news
+func (r permitRecorder) Tell(_ string, announced flow.Announcement) []flow.Announcement {
+	r.told <- announced
 	return nil
 }
 
@@ -79,10 +79,10 @@
 	require.Equal(t, 3, granted[0].Permits)
 	require.Equal(t, 250*time.Millisecond, granted[0].Wait)
 	require.Equal(t, "other", granted[0].Owner)
-	news := flow.News{Addresses: []string{owner.conn.LocalAddr().String()}, Relay: true, Leaving: []flow.Server{ended.Server}, Limited: []flow.ServerLimit{{Server: ask.Server, Limit: ask.Limit}}}
-	require.NoError(t, asking.SendNews(news))
+	announced := flow.Announcement{Addresses: []string{owner.conn.LocalAddr().String()}, Relay: true, Leaving: []flow.Server{ended.Server}, Limited: []flow.ServerLimit{{Server: ask.Server, Limit: ask.Limit}}}
+	require.NoError(t, asking.Announce(announced))
 	told := <-ownerHandler.told
-	require.Equal(t, news.Leaving, told.Leaving)
+	require.Equal(t, announced.Leaving, told.Leaving)
 	require.True(t, told.Relay)
 	require.Len(t, told.Limited, 1)
 	require.Equal(t, ask.Server, told.Limited[0].Server)
