Read a request's report under the lock of its table

Found by a new test under the race detector: a request that ended at its deadline reported its missing parts while the outcome of its last exchange was still being recorded. Callers saw nothing, but the log line could name a wrong reason, and the slice of exchanges in progress was read while it was changed. The report is now made under the table's lock, like every other use of that state.

TestVerdictsOfAllOutcomes plays each of 13 outcomes of a first exchange before each of 13 of a second one, for work that may and that may not be repeated, over dial, relay and platform to the client: no work ran twice, nothing that had run was refused as not run, and no success lacked a part of its answer (338 cases). With -race it failed in 8 of them before the fix and passes 5 of 5 runs after it.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -131,7 +131,7 @@
 	} else {
 		r.cancelHelpers()
 	}
-	report := r.report()
+	report := e.table.report(r)
 	report.Helpers = helpers
 	return result, report
 }
@@ -296,9 +296,11 @@
 	e.pool.Close()
 }
 
-// report must be called after finish: outcomes that arrive later no longer
-// change the parts.
-func (r *requestState) report() Report {
+// report describes a request after finish. Outcomes that arrive later still end its
+// exchanges.
+func (t *Table) report(r *requestState) Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	report := Report{Sends: r.sends, Hedges: r.hedges, Detours: r.detours}
 	for i := range r.parts {
 		p := &r.parts[i]
