Keep the age of an unknown rate limit from wrapping around

An ask for a cold server that never named a limit carries no time of an answer. Its age did not fit the field of the datagram and wrapped around to 24 days. That is old enough to do no harm, but by chance of the numbers only: a shorter one would let the owner take a limit that another host had reported for ended. The age is cut to the field now. The test of the datagrams fails with the wrapped age.

--- a/peer/permits.go
+++ b/peer/permits.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -155,7 +156,9 @@
 }
 
 func encodeLimit(l flow.Limit, now time.Time) *peerpb.Limit {
-	return &peerpb.Limit{Rate: l.Rate, None: !l.Named, Age: uint32(max(0, now.Sub(l.SaidAt).Milliseconds()))}
+	// The age of an answer that never came exceeds the field.
+	age := min(max(0, now.Sub(l.SaidAt).Milliseconds()), math.MaxUint32)
+	return &peerpb.Limit{Rate: l.Rate, None: !l.Named, Age: uint32(age)}
 }
 
 func decodeLimit(msg *peerpb.Limit, now time.Time) flow.Limit {
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -62,9 +62,12 @@
 		Want:     3,
 	}
 	ended := flow.Ask{Server: flow.Server{ID: "e", Zone: "b"}, Limit: flow.Limit{SaidAt: now}}
-	require.NoError(t, asking.Send(&flow.Batch{Address: owner.conn.LocalAddr().String(), Number: 7, Asks: []flow.Ask{ask, ended}}, now))
+	// A limit that was never named must not look like one that has just ended.
+	never := flow.Ask{Server: flow.Server{ID: "n", Zone: "b"}}
+	require.NoError(t, asking.Send(&flow.Batch{Address: owner.conn.LocalAddr().String(), Number: 7, Asks: []flow.Ask{ask, ended, never}}, now))
 	asked := <-ownerHandler.asked
-	require.Len(t, asked, 2)
+	require.Len(t, asked, 3)
+	require.True(t, asked[2].Limit.SaidAt.Before(now.Add(-49*24*time.Hour)), "age of an answer that never came")
 	require.Equal(t, ask.Server, asked[0].Server)
 	require.True(t, asked[0].Limit.Named)
 	require.InDelta(t, ask.Limit.Rate, asked[0].Limit.Rate, 0)
@@ -74,7 +77,7 @@
 	require.Equal(t, ask.ColdTime, asked[0].ColdTime)
 	require.Zero(t, asked[1].ColdTime)
 	granted := <-askingHandler.granted
-	require.Len(t, granted, 2)
+	require.Len(t, granted, 3)
 	require.Equal(t, ask.Server, granted[0].Server)
 	require.Equal(t, 3, granted[0].Permits)
 	require.Equal(t, 250*time.Millisecond, granted[0].Wait)
