--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -61,7 +61,7 @@
 		if response.Close {
 			return true
 		}
-		time.Sleep(pause)
+		<-time.After(pause)
 	}
 }
 
@@ -76,13 +76,13 @@
 		if stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		time.Sleep(2 * time.Millisecond)
+		<-time.After(2 * time.Millisecond)
 	}))
 	load := &stopLoad{address: l.address()}
 	load.start(100, time.Millisecond)
-	time.Sleep(200 * time.Millisecond)
+	<-time.After(200 * time.Millisecond)
 	stopping.Store(true)
-	time.Sleep(50 * time.Millisecond)
+	<-time.After(50 * time.Millisecond)
 	load.unlisted.Store(true)
 	require.NoError(t, l.close(context.Background(), 5*time.Second))
 	load.clients.Wait()
