--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"hyssophub/flow"
 	"hyssophub/gossip"
 	"hyssophub/peer/peerpb"
 	"hyssophub/relay"
@@ -77,3 +78,45 @@
 		}
 	})
 }
+
+// FuzzPermits guards against datagrams about permits that make the decoders or the table
+// panic, or that grant an impossible number of permits.
+func FuzzPermits(f *testing.F) {
+	now := time.Unix(1000, 0)
+	server := &peerpb.Server{Id: "s", Start: 1, Zone: "a"}
+	limit := &peerpb.Limit{Rate: 24, Age: 100}
+	for _, msg := range []*peerpb.Datagram{
+		{Host: "a1", Number: 1, Asks: []*peerpb.Ask{{Server: server, Limit: limit, Want: 3, Cold: 5, Left: 1000}}},
+		{Host: "a1", Number: 1, Grants: []*peerpb.Grant{{Server: server, Limit: limit, Permits: 2, Wait: 100, Owner: "a1"}}},
+		{Host: "a1", Leaving: []*peerpb.Server{server}, Limited: []*peerpb.Ask{{Server: server, Limit: limit}}, Relay: true},
+	} {
+		data, err := proto.Marshal(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg peerpb.Datagram
+		if proto.Unmarshal(data, &msg) != nil {
+			return
+		}
+		table := flow.NewTable("self", now.Add(-time.Minute))
+		table.SetMembers([]flow.Member{{Name: "self", Zone: "a", Live: true, Joined: true}, {Name: "a1", Zone: "a", Address: "a1", Live: true}}, now)
+		for i := range 3 {
+			at := now.Add(time.Duration(i) * time.Second)
+			for _, g := range first(table.Answer(msg.GetHost(), decodeAsks(msg.GetAsks(), at), at)) {
+				if g.Permits < 0 || g.Permits > maxWant {
+					t.Fatalf("%d permits", g.Permits)
+				}
+			}
+			table.Accept(msg.GetNumber(), decodeGrants(msg.GetGrants(), at), at)
+			table.Tell(msg.GetHost(), decodeAnnouncement(&msg, at), at)
+			table.Asks(at)
+			table.Announcements()
+			table.SetMembers(nil, at)
+		}
+	})
+}
+
+func first(grants []flow.Grant, _ []flow.Change) []flow.Grant { return grants }
