--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -186,8 +186,9 @@
 // result counts as lost. Its parts would else be waited for until the deadline.
 const helperPatience = 100 * time.Millisecond
 
-// releaseLost takes back the parts of helpers that count as lost. Servers in a zone that
-// does not answer cannot be asked any more, so their runs do not count.
+// releaseLost takes back the parts of helpers that count as lost. A helper may have used
+// all attempts of its parts, also if its zone does not answer: it may be slow and not cut
+// off, or have sent them to other zones before.
 func (t *Table) releaseLost(r *requestState, now time.Time, a *actions) {
 	for i := range r.parts {
 		x := r.parts[i].delegation
@@ -202,11 +203,7 @@
 		x.hasResult = true
 		t.hosts.Suspect(x.helper, now)
 		t.recordReach(x.zone, false, now)
-		possibleRuns := r.attempts()
-		if t.hosts.UnreachableZones(now)[x.zone] {
-			possibleRuns = min(1, possibleRuns-1)
-		}
-		t.releaseParts(x, possibleRuns, fault.ReasonDeadline)
+		t.releaseParts(x, r.attempts(), fault.ReasonDeadline)
 	}
 }
 
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -188,6 +188,11 @@
 		case <-r.wake:
 		case <-timer.C:
 		case <-e.stop.ended:
+			if r.collecting {
+				// The host that asked gets what is in, and no token to wait for more.
+				r.cancel()
+				return Merged{}
+			}
 			return e.table.stopped(r)
 		case <-r.ctx.Done():
 		}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -58,3 +58,29 @@
 		})
 	}
 }
+
+// TestStopEndsCollections guards against a collection for another host that a stopping
+// host answers again and again without any further part: the other host would wait for
+// it instead of failing or asking the servers itself.
+func TestStopEndsCollections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		instances := fleet.NewTable("a", flow.NewTable("self", now))
+		instances.Register(fleet.Instance{ID: "s", Service: "one", Zone: "a", Address: "s", Slots: 2, State: fleet.Ready{}, Revision: 1}, now)
+		routing := rules.NewTable(0)
+		routing.Apply(rules.Set{Version: 1})
+		hosts := gossip.NewTable(gossip.Host{Name: "self", Zone: "a"}, now)
+		e := NewEngine(routing, NewTable(routing, instances, hosts, BudgetLimits{Window: time.Second}, 1), silentBackend{}, nil, Options{Workers: 4, QueueLimit: 4})
+		e.EndBy(now.Add(100 * time.Millisecond))
+		partial, err := e.Collect(t.Context(), CollectRequest{
+			Message: &Message{ID: "id"}, Services: []string{"one"}, TopK: 1, MaxAttempts: 2,
+			TargetLatency: 600 * time.Millisecond, TimeToAnswer: 500 * time.Millisecond, TimeToDeadline: 5 * time.Second,
+		})
+		require.NoError(t, err)
+		require.Equal(t, 100*time.Millisecond, time.Since(now), "time of the result")
+		require.Zero(t, partial.Token, "further parts are announced")
+		require.Len(t, partial.Missing, 1)
+		require.Equal(t, 1, partial.Missing[0].PossibleRuns)
+		e.Close()
+	})
+}
