--- /dev/null
+++ b/relay/attempts_test.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/fault"
+	"hyssophub/fleet"
+	"hyssophub/flow"
+	"hyssophub/gossip"
+	"hyssophub/rules"
+)
+
+// attemptModel is a tier of engines whose calls to each other and to backend servers are
+// late, lost or refused at random. It records which servers ran which parts.
+type attemptModel struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	runs    map[string]map[string]bool
+	engines map[string]*Engine
+}
+
+func (m *attemptModel) chance(p float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.Float64() < p
+}
+
+func (m *attemptModel) upTo(limit time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(m.random.Int64N(int64(limit)))
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Do implements Backend.
+func (m *attemptModel) Do(ctx context.Context, request BackendRequest) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	if m.chance(0.03) {
+		return Failed{Verdict: fault.NotRun{}, Reason: fault.ReasonDown}
+	}
+	if !wait(ctx, m.upTo(5*time.Millisecond)) {
+		return Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonStopping}
+	}
+	if m.chance(0.05) {
+		return Refused{Reason: fault.ReasonShed}
+	}
+	part := request.Message.ID + "/" + request.Choice.Service
+	m.mu.Lock()
+	if m.runs[part] == nil {
+		m.runs[part] = make(map[string]bool)
+	}
+	m.runs[part][request.Choice.ID] = true
+	m.mu.Unlock()
+	latency := m.upTo(40 * time.Millisecond)
+	if m.chance(0.15) {
+		latency = m.upTo(600 * time.Millisecond)
+	}
+	if !wait(ctx, latency) || m.chance(0.03) {
+		return Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonConnection}
+	}
+	return Answered{Status: 200, Seal: part + "/" + request.Choice.ID, Body: make([]byte, recordSize)}
+}
+
+// call calls a host. The caller may lose the result, or get none in time; the host then
+// learns that the caller has gone.
+func (m *attemptModel) call(ctx context.Context, do func(context.Context) (PartialResult, error)) (PartialResult, error) {
+	if m.chance(0.05) {
+		wait(ctx, m.upTo(200*time.Millisecond))
+		return PartialResult{}, fault.New(fault.NotRun{}, fault.ReasonDown, "not reached")
+	}
+	called, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	type reply struct {
+		result PartialResult
+		err    error
+	}
+	replies := make(chan reply, 1)
+	delay := m.upTo(3 * time.Millisecond)
+	if m.chance(0.1) {
+		delay = m.upTo(300 * time.Millisecond)
+	}
+	go func() {
+		if !wait(called, delay) {
+			return
+		}
+		result, err := do(called)
+		replies <- reply{result, err}
+	}()
+	broken := make(<-chan time.Time)
+	if m.chance(0.05) {
+		broken = time.After(m.upTo(100 * time.Millisecond))
+	}
+	select {
+	case r := <-replies:
+		wait(ctx, m.upTo(2*time.Millisecond))
+		return r.result, r.err
+	case <-broken:
+	case <-ctx.Done():
+	}
+	return PartialResult{}, fault.New(fault.MayHaveRun{}, fault.ReasonConnection, "connection lost")
+}
+
+// Collect implements HelperClient.
+func (m *attemptModel) Collect(ctx context.Context, address string, request CollectRequest) (PartialResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(0, request.TimeToDeadline))
+	defer cancel()
+	return m.call(ctx, func(ctx context.Context) (PartialResult, error) { return m.engines[address].Collect(ctx, request) })
+}
+
+// CollectMore implements HelperClient.
+func (m *attemptModel) CollectMore(ctx context.Context, address string, token uint64) (PartialResult, error) {
+	return m.call(ctx, func(ctx context.Context) (PartialResult, error) { return m.engines[address].CollectMore(ctx, token) })
+}
+
+// TestAttemptsAcrossHosts guards against parts that run on more servers than a route
+// allows, counted over the host that a client asked and all hosts that collect for it,
+// while calls between them are late, lost or refused.
+func TestAttemptsAcrossHosts(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) { checkAttempts(t, seed) })
+	}
+}
+
+func checkAttempts(t *testing.T, seed uint64) {
+	const (
+		attempts     = 2
+		hostsPerZone = 6
+		serviceCount = 40
+	)
+	now := time.Now()
+	m := &attemptModel{random: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]map[string]bool), engines: make(map[string]*Engine)}
+	zones := []string{"a", "b", "c"}
+	var services []string
+	for i := range serviceCount {
+		services = append(services, fmt.Sprintf("s%d", i))
+	}
+	var hosts []gossip.Host
+	for _, zone := range zones {
+		for i := range hostsPerZone {
+			name := fmt.Sprintf("%s%d", zone, i)
+			hosts = append(hosts, gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400})
+		}
+	}
+	routing := rules.NewTable(0)
+	routing.Apply(rules.Set{Version: 1, Routes: []rules.Route{{
+		Name: "r", Prefix: "/", Target: rules.Gather{Services: services, TopK: 5, MinShare: 0.9}, RetryPolicy: rules.Idempotent{},
+		TargetLatency: 150 * time.Millisecond, MaxAttempts: attempts,
+	}}})
+	for _, self := range hosts {
+		instances := fleet.NewTable(self.Zone, flow.NewTable(self.Name, now))
+		for i, service := range services {
+			for z, zone := range zones {
+				id := fmt.Sprintf("%s-%s", service, zone)
+				instances.Register(fleet.Instance{ID: id, Service: service, Zone: zone, Address: id, Slots: 4, State: fleet.Ready{}, Revision: uint64(i*3 + z + 1)}, now)
+			}
+		}
+		known := gossip.NewTable(self, now)
+		for _, other := range hosts {
+			if other.Name != self.Name {
+				known.Receive(gossip.Heartbeat{Sender: gossip.Record{Host: other}}, now)
+			}
+		}
+		table := NewTable(routing, instances, known, BudgetLimits{Ratio: 1, Burst: 1000, Window: 10 * time.Second}, 1)
+		m.engines[self.Name] = NewEngine(routing, table, m, m, Options{Host: self.Name, Workers: 64, QueueLimit: 1024})
+	}
+	var requests sync.WaitGroup
+	view := routing.View()
+	for i := range 60 {
+		requests.Go(func() {
+			wait(t.Context(), m.upTo(800*time.Millisecond))
+			m.engines[hosts[i%len(hosts)].Name].Serve(t.Context(), Request{
+				Message: &Message{ID: fmt.Sprintf("%d", i)}, View: view, Route: &view.Set.Routes[0],
+				Arrived: time.Now(), Deadline: time.Now().Add(1500 * time.Millisecond),
+			})
+		})
+	}
+	requests.Wait()
+	<-time.After(3 * time.Second)
+	for _, e := range m.engines {
+		e.Close()
+	}
+	for part, servers := range m.runs {
+		require.LessOrEqual(t, len(servers), attempts, "part %s ran on %v, seed %d", part, servers, seed)
+	}
+}
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -264,9 +264,9 @@
 	return true
 }
 
-// failDelegation takes back the parts of a helper that did not answer. Before
-// the earliest time of a hedge, the helper can have sent each part to one
-// server only; later it may have used all attempts.
+// failDelegation takes back the parts of a helper that did not answer. The helper may
+// have used all attempts, however early the call failed: it asks a second server as soon
+// as the first one fails.
 func (t *Table) failDelegation(x *delegation, err error, now time.Time) {
 	possibleRuns := x.state.attempts()
 	// With a token, the helper has sent parts before this call.
@@ -275,8 +275,6 @@
 			return
 		}
 		possibleRuns = 0
-	} else if now.Sub(x.began) < time.Duration(hedgeMinShare*float64(x.state.request.Route.TargetLatency)) && x.token == 0 {
-		possibleRuns = min(1, possibleRuns)
 	}
 	t.releaseParts(x, possibleRuns, fault.ReasonOf(err))
 }
