--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -209,7 +209,8 @@
 
 // acceptParts applies a partial result. If one of its parts cannot be used, all
 // are rejected, because their records are already merged. A helper that has ended
-// the collection without a word on a part may have used all its attempts.
+// the collection without a word on a part may have used all its attempts. What a helper
+// reports of parts that were taken back from it is ignored: it may go on with them.
 func (t *Table) acceptParts(x *delegation, c PartialResult) {
 	r := x.state
 	if !r.isAcceptable(x, c.Parts) {
@@ -228,10 +229,12 @@
 		r.hasNew = true
 	}
 	x.token = c.Token
+	isOpen := false
 	for _, m := range c.Missing {
-		if m.Index < 0 || m.Index >= len(x.parts) {
+		if m.Index < 0 || m.Index >= len(x.parts) || r.parts[x.parts[m.Index]].delegation != x {
 			continue
 		}
+		isOpen = true
 		part := &r.parts[x.parts[m.Index]]
 		part.reason = m.Reason
 		part.possibleRuns, part.deliveries = m.PossibleRuns, m.PossibleRuns
@@ -240,7 +243,7 @@
 			part.delegation = nil
 		}
 	}
-	if c.Token != 0 {
+	if c.Token != 0 && isOpen {
 		r.incomplete = append(r.incomplete, x)
 		return
 	}
