Begin the tokens of collections at a random number

Cause: a host counted tokens from 1 after each start. A token that another host kept from the previous run could name another request's collection, whose records and counts of attempts would then be taken for those of the request.

Change: the first token is random and zero is never given out. The model of TestAttemptsAcrossHosts gets slow zones and is split into functions that the new test uses as well.

--- a/relay/attempts_test.go
+++ b/relay/attempts_test.go
@@ -25,6 +25,7 @@
 	random  *rand.Rand
 	runs    map[string]map[string]bool
 	engines map[string]*Engine
+	began   time.Time
 }
 
 func (m *attemptModel) chance(p float64) bool {
@@ -39,6 +40,13 @@
 	return time.Duration(m.random.Int64N(int64(limit)))
 }
 
+// isSlow reports whether the servers of an availability zone are slow. All zones take
+// turns, so that helpers report none of their parts as answered in some seconds.
+func (m *attemptModel) isSlow(zone string) bool {
+	turn := time.Since(m.began) / (100 * time.Millisecond) % 4
+	return turn < 3 && zone == string(rune('a'+turn))
+}
+
 func wait(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
@@ -69,7 +77,7 @@
 	m.runs[part][request.Choice.ID] = true
 	m.mu.Unlock()
 	latency := m.upTo(40 * time.Millisecond)
-	if m.chance(0.15) {
+	if m.isSlow(request.Choice.Zone) || m.chance(0.15) {
 		latency = m.upTo(600 * time.Millisecond)
 	}
 	if !wait(ctx, latency) || m.chance(0.03) {
@@ -138,47 +146,69 @@
 	}
 }
 
-func checkAttempts(t *testing.T, seed uint64) {
-	const (
-		attempts     = 2
-		hostsPerZone = 6
-		serviceCount = 40
-	)
-	now := time.Now()
-	m := &attemptModel{random: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]map[string]bool), engines: make(map[string]*Engine)}
-	zones := []string{"a", "b", "c"}
-	var services []string
-	for i := range serviceCount {
-		services = append(services, fmt.Sprintf("s%d", i))
-	}
+// attemptHosts returns the hosts of the model: six in each of three zones.
+func attemptHosts() []gossip.Host {
 	var hosts []gossip.Host
-	for _, zone := range zones {
-		for i := range hostsPerZone {
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range 6 {
 			name := fmt.Sprintf("%s%d", zone, i)
 			hosts = append(hosts, gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400})
 		}
 	}
+	return hosts
+}
+
+const (
+	// modelAttempts is the number of servers on which a part may run.
+	modelAttempts = 2
+	modelServices = 40
+)
+
+// modelRules returns the rules of the model: one route that gathers all services.
+func modelRules() *rules.Table {
+	var services []string
+	for i := range modelServices {
+		services = append(services, fmt.Sprintf("s%d", i))
+	}
 	routing := rules.NewTable(0)
 	routing.Apply(rules.Set{Version: 1, Routes: []rules.Route{{
 		Name: "r", Prefix: "/", Target: rules.Gather{Services: services, TopK: 5, MinShare: 0.9}, RetryPolicy: rules.Idempotent{},
-		TargetLatency: 150 * time.Millisecond, MaxAttempts: attempts,
+		TargetLatency: 150 * time.Millisecond, MaxAttempts: modelAttempts,
 	}}})
-	for _, self := range hosts {
-		instances := fleet.NewTable(self.Zone, flow.NewTable(self.Name, now))
-		for i, service := range services {
-			for z, zone := range zones {
-				id := fmt.Sprintf("%s-%s", service, zone)
-				instances.Register(fleet.Instance{ID: id, Service: service, Zone: zone, Address: id, Slots: 4, State: fleet.Ready{}, Revision: uint64(i*3 + z + 1)}, now)
-			}
+	return routing
+}
+
+// start starts the engine of a host, with an instance of each service in each zone.
+func (m *attemptModel) start(self gossip.Host, hosts []gossip.Host, routing *rules.Table) *Engine {
+	now := time.Now()
+	instances := fleet.NewTable(self.Zone, flow.NewTable(self.Name, now))
+	for i := range modelServices {
+		for z, zone := range []string{"a", "b", "c"} {
+			service := fmt.Sprintf("s%d", i)
+			id := service + "-" + zone
+			instances.Register(fleet.Instance{ID: id, Service: service, Zone: zone, Address: id, Slots: 4, State: fleet.Ready{}, Revision: uint64(i*3 + z + 1)}, now)
 		}
-		known := gossip.NewTable(self, now)
-		for _, other := range hosts {
-			if other.Name != self.Name {
-				known.Receive(gossip.Heartbeat{Sender: gossip.Record{Host: other}}, now)
-			}
+	}
+	known := gossip.NewTable(self, now)
+	for _, other := range hosts {
+		if other.Name != self.Name {
+			known.Receive(gossip.Heartbeat{Sender: gossip.Record{Host: other}}, now)
 		}
-		table := NewTable(routing, instances, known, BudgetLimits{Ratio: 1, Burst: 1000, Window: 10 * time.Second}, 1)
-		m.engines[self.Name] = NewEngine(routing, table, m, m, Options{Host: self.Name, Workers: 64, QueueLimit: 1024})
+	}
+	table := NewTable(routing, instances, known, BudgetLimits{Ratio: 1, Burst: 1000, Window: 10 * time.Second}, 1)
+	return NewEngine(routing, table, m, m, Options{Host: self.Name, Workers: 64, QueueLimit: 1024})
+}
+
+func newAttemptModel(seed uint64) *attemptModel {
+	return &attemptModel{
+		random: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]map[string]bool), engines: make(map[string]*Engine), began: time.Now(),
+	}
+}
+
+func checkAttempts(t *testing.T, seed uint64) {
+	m, hosts, routing := newAttemptModel(seed), attemptHosts(), modelRules()
+	for _, self := range hosts {
+		m.engines[self.Name] = m.start(self, hosts, routing)
 	}
 	var requests sync.WaitGroup
 	view := routing.View()
@@ -197,6 +227,29 @@
 		e.Close()
 	}
 	for part, servers := range m.runs {
-		require.LessOrEqual(t, len(servers), attempts, "part %s ran on %v, seed %d", part, servers, seed)
+		require.LessOrEqual(t, len(servers), modelAttempts, "part %s ran on %v, seed %d", part, servers, seed)
 	}
 }
+
+// TestTokensOfPreviousRun guards against a host that takes the token of a collection of
+// its previous run for one of this run, and so hands out another request's records.
+func TestTokensOfPreviousRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, hosts, routing := newAttemptModel(0), attemptHosts(), modelRules()
+		request := CollectRequest{
+			Message: &Message{ID: "1"}, Route: "r", Services: []string{"s1", "s2"}, TopK: 5, MaxAttempts: modelAttempts,
+			TargetLatency: 150 * time.Millisecond, TimeToDeadline: time.Second,
+		}
+		e := m.start(hosts[0], hosts, routing)
+		before, err := e.Collect(t.Context(), request)
+		require.NoError(t, err)
+		require.NotZero(t, before.Token)
+		e.Close()
+		e = m.start(hosts[0], hosts, routing)
+		_, err = e.Collect(t.Context(), request)
+		require.NoError(t, err)
+		_, err = e.CollectMore(t.Context(), before.Token)
+		require.Equal(t, fault.ReasonUnknownService, fault.ReasonOf(err))
+		e.Close()
+	})
+}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -94,7 +94,8 @@
 func (e *Engine) suspend(r *requestState) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastToken++
+	// Zero stands for a collection that has ended.
+	e.lastToken = max(1, e.lastToken+1)
 	token := e.lastToken
 	l := &suspendedCollection{state: r}
 	l.timer = time.AfterFunc(suspendTime, func() {
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -59,7 +60,8 @@
 	cancel context.CancelFunc
 
 	// mu guards suspended and lastToken. No other lock is acquired while it is
-	// held.
+	// held. Tokens begin at a random number, so that one of the host's previous run
+	// does not name a collection of this run.
 	mu        sync.Mutex
 	suspended map[uint64]*suspendedCollection
 	lastToken uint64
@@ -74,6 +76,7 @@
 		helpers:   helpers,
 		options:   options,
 		suspended: make(map[uint64]*suspendedCollection),
+		lastToken: rand.Uint64(),
 	}
 	e.stop.ended = make(chan struct{})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
