--- a/relay/attempts_test.go
+++ b/relay/attempts_test.go
@@ -86,15 +86,21 @@
 	return Answered{Status: 200, Seal: part + "/" + request.Choice.ID, Body: make([]byte, recordSize)}
 }
 
-// call calls a host. The caller may lose the result, or get none in time; the host then
-// learns that the caller has gone.
+// call calls a host. The call may arrive late. The caller may lose the result, or get none
+// in time; the host then learns that the caller has gone, at once or later.
 func (m *attemptModel) call(ctx context.Context, do func(context.Context) (PartialResult, error)) (PartialResult, error) {
 	if m.chance(0.05) {
 		wait(ctx, m.upTo(200*time.Millisecond))
 		return PartialResult{}, fault.New(fault.NotRun{}, fault.ReasonDown, "not reached")
 	}
 	called, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	defer func() {
+		if m.chance(0.3) {
+			time.AfterFunc(m.upTo(time.Second), cancel)
+			return
+		}
+		cancel()
+	}()
 	type reply struct {
 		result PartialResult
 		err    error
@@ -102,7 +108,7 @@
 	replies := make(chan reply, 1)
 	delay := m.upTo(3 * time.Millisecond)
 	if m.chance(0.1) {
-		delay = m.upTo(300 * time.Millisecond)
+		delay = m.upTo(500 * time.Millisecond)
 	}
 	go func() {
 		if !wait(called, delay) {
@@ -215,9 +221,14 @@
 	for i := range 60 {
 		requests.Go(func() {
 			wait(t.Context(), m.upTo(800*time.Millisecond))
+			// Some requests reach their host late, as after a cut.
+			arrived := time.Now()
+			if m.chance(0.2) {
+				arrived = arrived.Add(-m.upTo(700 * time.Millisecond))
+			}
 			m.engines[hosts[i%len(hosts)].Name].Serve(t.Context(), Request{
 				Message: &Message{ID: fmt.Sprintf("%d", i)}, View: view, Route: &view.Set.Routes[0],
-				Arrived: time.Now(), Deadline: time.Now().Add(1500 * time.Millisecond),
+				Arrived: arrived, Deadline: time.Now().Add(1500 * time.Millisecond),
 			})
 		})
 	}
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -157,7 +157,8 @@
 // judgeHelper records what a result says about a helper. No further parts are delegated
 // to it for a while if it did not answer, or answered only when its parts were of no
 // use any more. A late result on a host that is itself late says nothing, and neither
-// does an error after the client has left or a call that this host did not make.
+// does one of a request that was late before the call, an error after the client has left
+// or a call that this host did not make.
 func (t *Table) judgeHelper(x *delegation, err error, now time.Time) {
 	r := x.state
 	isFirst := !x.hasResult
@@ -167,7 +168,7 @@
 		t.recordReach(x.zone, true, now)
 	case err == nil:
 		t.recordReach(x.zone, true, now)
-		if now.After(r.answerAt) && t.recentLag(now) < lateLagLimit {
+		if now.After(r.answerAt) && x.began.Before(r.answerAt) && t.recentLag(now) < lateLagLimit {
 			t.hosts.Suspect(x.helper, now)
 		} else {
 			t.hosts.ClearSuspect(x.helper)
@@ -182,8 +183,9 @@
 // lateLagLimit is the lag of this host up to which a late result is the helper's fault.
 const lateLagLimit = 5 * time.Millisecond
 
-// helperPatience is the time after the answer was due at which a helper without any
-// result counts as lost. Its parts would else be waited for until the deadline.
+// helperPatience is the time after the answer was due, and after the parts were delegated,
+// at which a helper without any result counts as lost. Its parts would else be waited for
+// until the deadline.
 const helperPatience = 100 * time.Millisecond
 
 // releaseLost takes back the parts of helpers that count as lost. A helper may have used
@@ -195,7 +197,11 @@
 		if x == nil || x.hasResult {
 			continue
 		}
+		// The answer of a request that reached this host late may be due already.
 		lostAt := r.answerAt.Add(helperPatience)
+		if earliest := x.began.Add(helperPatience); lostAt.Before(earliest) {
+			lostAt = earliest
+		}
 		if now.Before(lostAt) {
 			a.wakeBy(lostAt)
 			continue
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -161,6 +161,7 @@
 	}
 }
 
+// begin begins a request, which arrived earlier by late.
 func (s *script) begin(t *testing.T, d *datadriven.TestData) string {
 	services := strings.Split(props.Text(t, d, "services"), "+")
 	route := rules.Route{
@@ -181,12 +182,16 @@
 	s.set.Routes = []rules.Route{route}
 	s.routing.Apply(s.set)
 	view := s.routing.View()
+	arrived := s.now
+	if d.HasArg("late") {
+		arrived = arrived.Add(-props.Duration(t, d, "late"))
+	}
 	e := &Engine{rules: s.routing, table: s.table, ctx: context.Background()}
 	s.state = e.newRequestState(context.Background(), Request{
 		Message:  &Message{ID: "id"},
 		View:     view,
 		Route:    &view.Set.Routes[0],
-		Arrived:  s.now,
+		Arrived:  arrived,
 		Deadline: s.now.Add(props.Duration(t, d, "deadline")),
 	})
 	s.state.collecting = d.HasArg("collecting") || d.HasArg("spread")
