Let the servers of the soak send hostile answers

Change: a fault of the soak makes a server break off heads and unframed bodies, send answers twice, or send header lines, informational responses, chunks or chunk extensions without end.

--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -55,8 +55,8 @@
 	paused atomic.Bool
 	// rejecting makes the server refuse requests without running them.
 	rejecting atomic.Bool
-	// truncating makes the server announce more bytes than it sends.
-	truncating atomic.Bool
+	// answers is what the server does to its answers.
+	answers atomic.Pointer[answerFault]
 	// drainingSince is the time when the store accepted the state draining, in
 	// Unix nanoseconds; zero before.
 	drainingSince atomic.Int64
@@ -79,6 +79,7 @@
 		return nil, err
 	}
 	s := &server{id: id, service: service, zone: zone, executions: e, slots: make(chan struct{}, serverSlots)}
+	s.setAnswers(answerWhole{})
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.http.Serve(listener) }()
 	if s.proxy, err = newProxy(proxyAddr, listenAddr); err != nil {
@@ -147,12 +148,11 @@
 		answer = append([]byte("echo "), body...)
 	}
 	w.Header().Set("Server-Seal", seal(s.service, id))
-	if s.truncating.Load() {
-		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+16))
-	}
-	_, _ = w.Write(answer)
+	s.writeAnswer(w, answer)
 }
 
+func (s *server) setAnswers(f answerFault) { s.answers.Store(&f) }
+
 // maxLateRequests is the number of requests that a leaving server may get after
 // drainLimit: each host that starts then learns of it from one answer.
 const maxLateRequests = 2 * zones * hostsPerZone
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,8 +71,12 @@
 	group.Wait()
 	// Wait for requests that are still in flight: backend servers may still run them.
 	sleep(2 * requestTimeout)
-	t.Logf("seed %d: served %d (partial %d), refused %d, failed %d; faults %v",
-		seed, o.served.Load(), o.partial.Load(), o.refused.Load(), o.failed.Load(), f.injected)
+	peak := 0
+	for _, h := range d.hosts {
+		peak = max(peak, h.checkMemory(d.executions))
+	}
+	t.Logf("seed %d: served %d (partial %d), refused %d, failed %d; %d MB at most; faults %v",
+		seed, o.served.Load(), o.partial.Load(), o.refused.Load(), o.failed.Load(), peak>>20, f.injected)
 	if !checkExecutions(d, o) || !recovered {
 		t.Errorf("seed %d violated a guarantee: recovered %t\n%v\n%v", seed, recovered, o.violations, d.executions.violations)
 		saveLogs(t, d, seed)
@@ -169,6 +173,7 @@
 		{"pause", f.pauseServer},
 		{"shed", f.rejectRequests},
 		{"garble", f.truncateAnswers},
+		{"hostile", f.spoilAnswers},
 		{"leave", f.drainServer},
 		{"announce", f.announceLeaving},
 		{"limit", f.limitServer},
@@ -220,6 +225,7 @@
 // killHost kills a host, also a frozen one, and restarts it after the duration.
 func (f *faultInjector) killHost(duration time.Duration) {
 	h := f.host()
+	h.checkMemory(f.d.executions)
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGKILL)
 	h.waitExit(time.Second)
@@ -230,6 +236,7 @@
 // that it has read. It restarts once its process has exited.
 func (f *faultInjector) stopHost(time.Duration) {
 	h := f.host()
+	h.checkMemory(f.d.executions)
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGTERM)
 	f.group.Go(func() {
@@ -296,9 +303,18 @@
 
 // truncateAnswers makes a server announce more bytes than it sends.
 func (f *faultInjector) truncateAnswers(duration time.Duration) {
+	f.changeAnswers(answerTruncated{}, duration)
+}
+
+// spoilAnswers makes a server send answers that break off, come twice or never end.
+func (f *faultInjector) spoilAnswers(duration time.Duration) {
+	f.changeAnswers(hostileAnswers[f.random.IntN(len(hostileAnswers))], duration)
+}
+
+func (f *faultInjector) changeAnswers(fault answerFault, duration time.Duration) {
 	s := f.server()
-	s.truncating.Store(true)
-	f.undoAfter(duration, func() { s.truncating.Store(false) })
+	s.setAnswers(fault)
+	f.undoAfter(duration, func() { s.setAnswers(answerWhole{}) })
 }
 
 // announceLeaving makes a server say in its answers that it leaves, before its
