Report late parts of a collection together

Cause: once the answer was due, a collection reported each further part as it came, and one that was due before it began first reported that all parts were missing.

Change: the first report comes 20 ms after the start if the answer was due before, and later ones at least 10 ms apart. The last part ends the collection at once, as before.

--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -157,8 +157,8 @@
 // judgeHelper records what a result says about a helper. No further parts are delegated
 // to it for a while if it did not answer, or answered only when its parts were of no
 // use any more. A late result on a host that is itself late says nothing, and neither
-// does one of a request that was late before the call, an error after the client has left
-// or a call that this host did not make.
+// does one of a request that was late before the call or nearly so, an error after the
+// client has left or a call that this host did not make.
 func (t *Table) judgeHelper(x *delegation, err error, now time.Time) {
 	r := x.state
 	isFirst := !x.hasResult
@@ -168,7 +168,7 @@
 		t.recordReach(x.zone, true, now)
 	case err == nil:
 		t.recordReach(x.zone, true, now)
-		if now.After(r.answerAt) && x.began.Before(r.answerAt) && t.recentLag(now) < lateLagLimit {
+		if now.After(r.answerAt) && x.began.Add(lateAnswerTime).Before(r.answerAt) && t.recentLag(now) < lateLagLimit {
 			t.hosts.Suspect(x.helper, now)
 		} else {
 			t.hosts.ClearSuspect(x.helper)
@@ -321,7 +321,7 @@
 
 // nextPartialResult returns the parts that were answered since the last partial
 // result, for the host that asked for them.
-func (t *Table) nextPartialResult(r *requestState) PartialResult {
+func (t *Table) nextPartialResult(r *requestState, now time.Time) PartialResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var c PartialResult
@@ -342,6 +342,6 @@
 	}
 	r.reportedRecords = len(r.collectedRecords)
 	c.Records = top.encode()
-	r.hasNew, r.reported = false, true
+	r.hasNew, r.reported, r.reportAt = false, true, now.Add(reportInterval)
 	return c
 }
