--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -123,7 +123,8 @@
 )
 
 // setMargins sets the margins of the delegations of a request on a host with a
-// processor share in thousandths of a core.
+// processor share in thousandths of a core. A helper gets at least half of the time that
+// is left, however slow this host is.
 func setMargins(delegations []*delegation, weight int) {
 	processing := timeOn(weight, time.Duration(len(delegations))*resultTime)
 	for _, x := range delegations {
@@ -131,6 +132,7 @@
 		if x.isNeighbour {
 			x.margin = processing + neighbourMargin
 		}
+		x.margin = min(x.margin, max(0, x.state.answerAt.Sub(x.began)/2))
 	}
 }
 
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -74,6 +74,12 @@
 		return s.partialResult(t, d)
 	case "report":
 		return s.report()
+	case "margins":
+		var b strings.Builder
+		for _, x := range s.delegations {
+			_, _ = fmt.Fprintf(&b, "%s answers %s before this host\n", x.helper, x.margin)
+		}
+		return b.String()
 	case "cut-off":
 		s.hosts.RecordZoneSuccess(props.Text(t, d, "zone"), s.now.Add(-time.Minute))
 		for range 10 {
@@ -98,7 +104,11 @@
 	s.bounds = flow.NewTable("self", s.start)
 	s.fleet = fleet.NewTable(props.Text(t, d, "zone"), s.bounds)
 	s.fleet.SetHosts(1)
-	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: 400}, s.now)
+	weight := 400
+	if d.HasArg("weight") {
+		weight = int(props.Number(t, d, "weight"))
+	}
+	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: weight}, s.now)
 	for _, line := range strings.Fields(d.Input) {
 		name, zone, _ := strings.Cut(line, "@")
 		host := gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400}
