Let lost swaps of the test store take effect late

Cause: the unreliable store of the tests of config chose by the parity of a delay in nanoseconds, which is a whole number of milliseconds and so always even: each lost swap took effect at once and none after the caller's next read.

Change: the parity of the milliseconds decides.

--- a/config/changer_test.go
+++ b/config/changer_test.go
@@ -62,7 +62,7 @@
 	if lost {
 		// Half of the lost calls take effect after the caller's next read.
 		time.AfterFunc(10*delay, func() { _, _ = m.swap(revision, value) })
-		if delay%2 == 0 {
+		if delay/time.Millisecond%2 == 0 {
 			_, _ = m.swap(revision, value)
 		}
 		return store.Entry{}, store.ErrUnknown
