--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -25,6 +25,18 @@
 	return Failed{Verdict: fault.MayHaveRun{}, Reason: fault.ReasonDeadline, Err: ctx.Err()}
 }
 
+// startSilentEngine starts the engine of a host with one server, which never answers.
+func startSilentEngine(routes ...rules.Route) (*Engine, *rules.Table) {
+	now := time.Now()
+	instances := fleet.NewTable("a", flow.NewTable("self", now))
+	instances.Register(fleet.Instance{ID: "s", Service: "one", Zone: "a", Address: "s", Slots: 2, State: fleet.Ready{}, Revision: 1}, now)
+	routing := rules.NewTable(0)
+	routing.Apply(rules.Set{Version: 1, Routes: routes})
+	hosts := gossip.NewTable(gossip.Host{Name: "self", Zone: "a"}, now)
+	table := NewTable(routing, instances, hosts, BudgetLimits{Window: time.Second}, 1)
+	return NewEngine(routing, table, silentBackend{}, nil, Options{Workers: 4, QueueLimit: 4}), routing
+}
+
 // TestStopAnswersEachRequest guards against requests that a planned stop cuts off
 // without an answer because their server is still at work at the end of the grace
 // period, and against requests that arrive too late in it and are sent all the same.
@@ -32,14 +44,9 @@
 	for _, policy := range []rules.RetryPolicy{rules.Idempotent{}, rules.AtMostOnce{}} {
 		synctest.Test(t, func(t *testing.T) {
 			now := time.Now()
-			instances := fleet.NewTable("a", flow.NewTable("self", now))
-			instances.Register(fleet.Instance{ID: "s", Service: "one", Zone: "a", Address: "s", Slots: 2, State: fleet.Ready{}, Revision: 1}, now)
-			routing := rules.NewTable(0)
-			routing.Apply(rules.Set{Version: 1, Routes: []rules.Route{{
+			e, routing := startSilentEngine(rules.Route{
 				Name: "r", Prefix: "/", Target: rules.Single{Service: "one"}, RetryPolicy: policy, TargetLatency: 600 * time.Millisecond, MaxAttempts: 2,
-			}}})
-			hosts := gossip.NewTable(gossip.Host{Name: "self", Zone: "a"}, now)
-			e := NewEngine(routing, NewTable(routing, instances, hosts, BudgetLimits{Window: time.Second}, 1), silentBackend{}, nil, Options{Workers: 4, QueueLimit: 4})
+			})
 			serve := func() Declined {
 				result, _ := e.Serve(t.Context(), Request{
 					Message: &Message{ID: "id"}, View: routing.View(), Route: &routing.View().Set.Routes[0],
@@ -65,12 +72,7 @@
 func TestStopEndsCollections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
-		instances := fleet.NewTable("a", flow.NewTable("self", now))
-		instances.Register(fleet.Instance{ID: "s", Service: "one", Zone: "a", Address: "s", Slots: 2, State: fleet.Ready{}, Revision: 1}, now)
-		routing := rules.NewTable(0)
-		routing.Apply(rules.Set{Version: 1})
-		hosts := gossip.NewTable(gossip.Host{Name: "self", Zone: "a"}, now)
-		e := NewEngine(routing, NewTable(routing, instances, hosts, BudgetLimits{Window: time.Second}, 1), silentBackend{}, nil, Options{Workers: 4, QueueLimit: 4})
+		e, _ := startSilentEngine()
 		e.EndBy(now.Add(100 * time.Millisecond))
 		partial, err := e.Collect(t.Context(), CollectRequest{
 			Message: &Message{ID: "id"}, Services: []string{"one"}, TopK: 1, MaxAttempts: 2,
