Report each late part of a collection at once again

Cause: held late parts back for up to 10 ms so as to report several at once.

Change: each late part is reported as it comes. The first report of a collection that was due before it began still waits for 20 ms.

--- a/relay/collect.go
+++ b/relay/collect.go
@@ -13,16 +13,10 @@
 // while the host that asked for it does not call CollectMore.
 const suspendTime = 40 * time.Millisecond
 
-const (
-	// lateAnswerTime is the time until the first partial result of a collection that
-	// was due before it began, about that of a server's answer. An empty result at once
-	// would cost both hosts a call.
-	lateAnswerTime = 20 * time.Millisecond
-	// reportInterval is the time between a partial result and the next one. A host with
-	// a fifth of a core takes 1.5 ms for each, and late parts of many servers arrive one
-	// by one.
-	reportInterval = 10 * time.Millisecond
-)
+// lateAnswerTime is the time until the first partial result of a collection that was due
+// before it began, about that of a server's answer. An empty result at once would cost
+// both hosts a call.
+const lateAnswerTime = 20 * time.Millisecond
 
 // suspendedCollection is a collection between two calls of the host that asked
 // for it.
@@ -87,7 +81,7 @@
 	isSuspended := false
 	work.Guard(e.options.OnPanic, func() {
 		_ = e.run(r, first())
-		c = e.table.nextPartialResult(r, time.Now())
+		c = e.table.nextPartialResult(r)
 		err = nil
 		if stop() && len(c.Missing) > 0 && !e.table.isComplete(r, time.Now()) {
 			c.Token, isSuspended = e.suspend(r), true
--- a/relay/conclude.go
+++ b/relay/conclude.go
@@ -32,11 +32,12 @@
 }
 
 // concludeCollection decides when a collection returns to the host that asked
-// for it: when the answer is due, then with further answered parts, reportInterval apart,
-// and when no further part can be answered.
+// for it: when the answer is due, then at each further answered part, and when
+// no further part can be answered. Late parts that were held back for 10 ms, so as to
+// report several at once, made more answers miss their objective.
 func (r *requestState) concludeCollection(unanswerable int, now time.Time) Result {
-	isDue := !now.Before(r.reportAt) && (r.hasNew || !r.reported)
-	if unanswerable == len(r.parts)-r.answered || !now.Before(r.end) || isDue {
+	late := !now.Before(r.answerAt)
+	if unanswerable == len(r.parts)-r.answered || !now.Before(r.end) || (late && (r.hasNew || !r.reported)) {
 		return Merged{}
 	}
 	return nil
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -323,7 +323,7 @@
 
 // nextPartialResult returns the parts that were answered since the last partial
 // result, for the host that asked for them.
-func (t *Table) nextPartialResult(r *requestState, now time.Time) PartialResult {
+func (t *Table) nextPartialResult(r *requestState) PartialResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var c PartialResult
@@ -344,6 +344,6 @@
 	}
 	r.reportedRecords = len(r.collectedRecords)
 	c.Records = top.encode()
-	r.hasNew, r.reported, r.reportAt = false, true, now.Add(reportInterval)
+	r.hasNew, r.reported = false, true
 	return c
 }
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -257,7 +257,7 @@
 }
 
 func (s *script) report() string {
-	c := s.table.nextPartialResult(s.state, s.now)
+	c := s.table.nextPartialResult(s.state)
 	var b strings.Builder
 	for _, p := range c.Parts {
 		_, _ = fmt.Fprintf(&b, "part %d %s\n", p.Index, p.Seal)
--- a/relay/state.go
+++ b/relay/state.go
@@ -41,13 +41,11 @@
 	// collecting is set if another host asked for the parts, and spread if this host
 	// may pass them on to other hosts of its zone. hasNew is set if a
 	// part was answered since the last partial result for that host, and
-	// reported after the first partial result. reportAt is the earliest time of the
-	// next one.
+	// reported after the first partial result.
 	collecting bool
 	spread     bool
 	hasNew     bool
 	reported   bool
-	reportAt   time.Time
 	// collectedRecords are the merged records from helpers. incomplete lists
 	// the delegations with missing parts, for which CollectMore is to be called.
 	collectedRecords [][]byte
--- a/relay/table.go
+++ b/relay/table.go
@@ -131,11 +131,8 @@
 	if !r.collecting && t.isClosedOff(r, now) {
 		return actions{result: declined(fault.NotRun{}, r.refusalReason(), r.retryAfter())}
 	}
-	if r.collecting {
-		if !now.Before(r.answerAt) {
-			r.answerAt = now.Add(lateAnswerTime)
-		}
-		r.reportAt = r.answerAt
+	if r.collecting && !now.Before(r.answerAt) {
+		r.answerAt = now.Add(lateAnswerTime)
 	}
 	var delegations []*delegation
 	switch {
@@ -215,9 +212,6 @@
 	if r.gather != nil && now.Before(r.answerAt) {
 		a.wakeBy(r.answerAt)
 	}
-	if r.collecting && now.Before(r.reportAt) {
-		a.wakeBy(r.reportAt)
-	}
 	a.collectMore, r.incomplete = r.incomplete, nil
 	a.collect, r.redelegations = r.redelegations, nil
 	for i := range r.parts {
