--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -18,12 +18,12 @@
 func (r *Relay) logNotice(change flow.Change) {
 	switch c := change.(type) {
 	case flow.LimitNamed:
-		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Float64("rate", c.Rate).Msg("backend server names a rate limit")
+		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Float64("rate", c.Rate).Msg("backend server announced a rate limit")
 	case flow.LimitEnded:
-		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Msg("backend server names no rate limit any more")
+		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Msg("backend server withdrew its rate limit")
 	case flow.PauseNamed:
 		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Dur("named", c.Named).Dur("pause", time.Until(c.Until)).
-			Msg("backend server wants no requests from this host for some time")
+			Msg("backend server requested a pause from this host")
 	case flow.LeavingNamed:
 		r.log.Info().Str("server", c.Server.ID).Str("zone", c.Server.Zone).Str("from", c.From).Msg("backend server is shutting down")
 	}
--- a/dial/forward.go
+++ b/dial/forward.go
@@ -230,8 +230,8 @@
 	return reply, reusable, err
 }
 
-// parseResponse reads a response. Informational (1xx) responses are skipped. A response without a
-// length ends when the server closes the connection with a FIN.
+// parseResponse reads a response. Informational (1xx) responses are skipped. A response
+// without a length ends when the server closes the connection with a FIN.
 func (c *connection) parseResponse(method string) (Reply, bool, error) {
 	request := getRequest
 	if method != http.MethodGet {
--- a/feed/load.go
+++ b/feed/load.go
@@ -7,8 +7,9 @@
 
 const (
 	// settleTime is how long a starting host waits for its neighbours before it loads
-	// the full state from the store. The store counts each call, and hosts that start
-	// together would all load the same pages; now one host of a zone does.
+	// the full state from the store. Loading it takes dozens of calls at the
+	// design size, and hosts that start together would all load the same pages; now
+	// one host of a zone does.
 	settleTime = 300 * time.Millisecond
 	// neighbourTimeout is how long a starting host asks its neighbours at most.
 	neighbourTimeout = 2500 * time.Millisecond
--- a/flow/announce.go
+++ b/flow/announce.go
@@ -23,8 +23,8 @@
 
 // Announcements returns what to tell other hosts now: all live hosts of the own zone,
 // and one of each other zone, which passes it on there, since bytes between zones are
-// expensive. Datagrams may be lost; a host that is not told learns it from the server's next
-// answer. Without them each host would send one more request to a server to learn of
+// expensive. Datagrams may be lost; a host that is not told learns it from the server's
+// next answer. Without them each host would send one more request to a server to learn of
 // its limit, which hundreds of hosts do at a limit of one request a second.
 func (t *Table) Announcements() []Announcement {
 	t.mu.Lock()
--- a/flow/model_test.go
+++ b/flow/model_test.go
@@ -36,7 +36,7 @@
 	server  Server
 	limit   float64
 	limitAt time.Time
-	// coldRate is the rate that the server stands while it is cold; zero if it is warm.
+	// coldRate is the rate that the server can take while it is cold; zero if it is warm.
 	coldRate float64
 	loss     float64
 	pending  []delayedCall
--- a/flow/share.go
+++ b/flow/share.go
@@ -41,7 +41,7 @@
 	Server Server
 	// Limit is what the asking host knows of the limit.
 	Limit Limit
-	// ColdRate is the rate, in requests a second, that the server stands while it is
+	// ColdRate is the rate, in requests a second, that the server can take while it is
 	// cold, for ColdTime from now; both are zero if it is not.
 	ColdRate float64
 	ColdTime time.Duration
--- a/flow/table.go
+++ b/flow/table.go
@@ -79,7 +79,7 @@
 }
 
 // cold is the bound on the requests to a server that is cold until a time: the rate, in
-// requests a second, that it stands from all hosts together.
+// requests a second, that it can take from all hosts together.
 type cold struct {
 	rate  float64
 	until time.Time
@@ -87,7 +87,7 @@
 
 // coldShare is the share of a cold server's rate at which permits are granted. The
 // margin is for requests that do not arrive evenly: a cold server fails when it gets
-// more than it stands within a second.
+// more than it can take within a second.
 const coldShare = 0.7
 
 // bound returns the rate, in requests a second, at which all hosts together may send to
--- a/relay/attempts_test.go
+++ b/relay/attempts_test.go
@@ -221,7 +221,7 @@
 	for i := range 60 {
 		requests.Go(func() {
 			wait(t.Context(), m.upTo(800*time.Millisecond))
-			// Some requests reach their host late, as after a cut.
+			// Some requests reach their host late, as after a network partition.
 			arrived := time.Now()
 			if m.chance(0.2) {
 				arrived = arrived.Add(-m.upTo(700 * time.Millisecond))
--- a/relay/conclude.go
+++ b/relay/conclude.go
@@ -33,8 +33,8 @@
 
 // concludeCollection decides when a collection returns to the host that asked
 // for it: when the answer is due, then at each further answered part, and when
-// no further part can be answered. Late parts that were held back for 10 ms, so as to
-// report several at once, made more answers miss their objective.
+// no further part can be answered. Late parts are not held back to report several
+// at once, because those just after that time may still make the caller's objective.
 func (r *requestState) concludeCollection(unanswerable int, now time.Time) Result {
 	late := !now.Before(r.answerAt)
 	if unanswerable == len(r.parts)-r.answered || !now.Before(r.end) || (late && (r.hasNew || !r.reported)) {
