Review case 3: show it with one server that leaves

The case removes the entry of one server instead of four at once, which a small deployment meets more often, while the store cuts the watches that wait six times within 3 s.

--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -14,21 +15,22 @@
 	arriveTime = 250 * time.Millisecond
 )
 
-// Times of the case, from the removal of the entries.
+// Times of the case, from the removal of the entry.
 const (
-	// firstCutAt and secondCutAt are when the store cuts the watches that wait. The
-	// standard HTTP client repeats a request whose connection was in use before, so that
-	// the host does not notice the first cut.
-	firstCutAt  = 800 * time.Millisecond
-	secondCutAt = 1400 * time.Millisecond
-	// leaveAt is when the servers that left exit.
+	// The store cuts the watches that wait from cutsFrom to cutsUntil, one time in
+	// cutInterval. The standard HTTP client repeats a request whose connection was in use
+	// before, so that a host notices every second cut.
+	cutsFrom    = -1200 * time.Millisecond
+	cutsUntil   = 1900 * time.Millisecond
+	cutInterval = 600 * time.Millisecond
+	// leaveAt is when the server that left exits.
 	leaveAt = 14 * time.Second
 )
 
 func init() { cases["leaving"] = runLeaving }
 
-// runLeaving removes the entries of four servers at once, as those of servers that never
-// report that they drain, and cuts the watches that wait at the store twice.
+// runLeaving removes the entry of one server, as that of a server that never reports that
+// it drains, while the store cuts the watches that wait a few times.
 func runLeaving(d *deployment, trouble bool) (bool, error) {
 	var services []string
 	for i := range 20 {
@@ -58,14 +60,13 @@
 	}
 	time.Sleep(5 * time.Second)
 
-	// Three shards and the invoices of zone-a.
-	var leaving []*server
+	var leaving *server
 	for _, s := range d.servers {
-		if s.zone == "zone-a" && (s.service == "shard-01" || s.service == "shard-02" || s.service == "shard-03" || s.service == "invoices") {
-			leaving = append(leaving, s)
+		if s.zone == "zone-a" && s.service == "invoices" {
+			leaving = s
 		}
 	}
-	stop := time.Now().Add(2*time.Second + leaveAt + time.Second)
+	stop := time.Now().Add(2*time.Second - cutsFrom + leaveAt + time.Second)
 	var searches, payments statuses
 	done := make(chan struct{}, 2)
 	c := d.newClient(d.hosts[0])
@@ -84,45 +85,39 @@
 		done <- struct{}{}
 	}()
 	time.Sleep(2 * time.Second)
-	var removals []write
-	for _, s := range leaving {
-		removals = append(removals, write{s.key(), nil})
-	}
-	confirmed := d.store.apply(removals...)
-	for _, s := range leaving {
-		d.note("the store confirmed that the entry of %s (%s in %s) is gone", s.id, s.service, s.zone)
-	}
+	removeAt := time.Now().Add(-cutsFrom)
+	var cuts sync.WaitGroup
 	if trouble {
-		for _, after := range []time.Duration{firstCutAt, secondCutAt} {
-			time.Sleep(time.Until(confirmed.Add(after)))
-			d.store.cutWatches()
-			d.note("the store cut the watches that wait")
-		}
+		cuts.Go(func() {
+			for at := cutsFrom; at < cutsUntil; at += cutInterval {
+				time.Sleep(time.Until(removeAt.Add(at)))
+				d.store.cutWatches()
+				d.note("the store cut the watches that wait")
+			}
+		})
 	}
+	time.Sleep(time.Until(removeAt))
+	confirmed := d.store.apply(write{leaving.key(), nil})
+	d.note("the store confirmed that the entry of %s (%s in %s) is gone", leaving.id, leaving.service, leaving.zone)
+	cuts.Wait()
 	time.Sleep(time.Until(confirmed.Add(leaveAt)))
-	for _, s := range leaving {
-		s.close()
-	}
-	d.note("the servers that left have exited")
+	leaving.close()
+	d.note("the server that left has exited")
 	<-done
 	<-done
 
-	late := 0
-	for _, s := range leaving {
-		var last time.Time
-		count, after := 0, 0
-		for _, x := range s.seen() {
-			last = x.at
-			if x.at.After(confirmed) {
-				count++
-			}
-			if x.at.After(confirmed.Add(drainTime + arriveTime)) {
-				after++
-			}
+	var last time.Time
+	count, late := 0, 0
+	for _, x := range leaving.seen() {
+		last = x.at
+		if x.at.After(confirmed) {
+			count++
+		}
+		if x.at.After(confirmed.Add(drainTime + arriveTime)) {
+			late++
 		}
-		late += after
-		d.note("server %s (%s in %s): %d requests after its entry was gone, the last %.2f s after; %d later than DrainMs", s.id, s.service, s.zone, count, last.Sub(confirmed).Seconds(), after)
 	}
+	d.note("server %s: %d requests after its entry was gone, the last %.2f s after; %d later than DrainMs", leaving.id, count, last.Sub(confirmed).Seconds(), late)
 	d.note("searches by status: %s; payments by status: %s; requests later than DrainMs: %d", &searches, &payments, late)
 	return late > 0, nil
 }
