--- a/review/stand/body.go
+++ b/review/stand/body.go
@@ -77,10 +77,7 @@
 	for _, a := range got {
 		counts.add(a.status)
 		if a.status == http.StatusOK {
-			d.note("client: %s sent with a body of %d bytes, answered 200 with %d parts, whole %v", a.id, len(sent[a.id]),
-				len(partSeals(a.header)), bytes.Equal(a.body, topRecords(servicesOf(a), a.id, 5)))
-		} else {
-			d.note("client: %s sent with a body of %d bytes, answered %d (%v)", a.id, len(sent[a.id]), a.status, a.err)
+			d.note("answer to %s: %d parts, records of these parts: %v", a.id, len(partSeals(a.header)), bytes.Equal(a.body, topRecords(servicesOf(a), a.id, 5)))
 		}
 	}
 	ran, changed := 0, 0
@@ -90,7 +87,7 @@
 			body, known := sent[x.id]
 			if !known || x.body != body || x.method != http.MethodPost || x.uri != "/search/2f" {
 				changed++
-				d.note("server %s of %s in %s: ran %s as %s %s with a body of %d bytes, the client sent %d", s.id, s.service, s.zone, x.id, x.method, x.uri, len(x.body), len(body))
+				d.note("server %s of %s in %s: ran %s as %s %s with a body of %d bytes, but the client sent %d", s.id, s.service, s.zone, x.id, x.method, x.uri, len(x.body), len(body))
 			}
 		}
 	}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -42,8 +42,18 @@
 	return &client{d: d, host: h, http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 32}}}
 }
 
-// send sends a request and waits for its answer.
+// send sends a request, waits for its answer and records both.
 func (c *client) send(method, path, body string, deadline time.Duration) answer {
+	a := c.exchange(method, path, body, deadline)
+	result := fmt.Sprintf("%d with %d bytes", a.status, len(a.body))
+	if a.err != nil {
+		result = fmt.Sprintf("no answer (%v)", a.err)
+	}
+	c.d.note("client of %s: sent %s %s %s with %d bytes %.3f s ago, got %s", c.host.name, a.id, method, path, len(body), time.Since(a.sent).Seconds(), result)
+	return a
+}
+
+func (c *client) exchange(method, path, body string, deadline time.Duration) answer {
 	a := answer{id: newID(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+300*time.Millisecond)
 	defer cancel()
--- a/review/stand/foreign.go
+++ b/review/stand/foreign.go
@@ -75,8 +75,8 @@
 			every(100*time.Millisecond, stop, func() {
 				a := c.send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second)
 				answered.add(a.status)
-				if a.status != http.StatusOK {
-					d.note("client of %s: payment %s answered %d, Server-Seal %q", h.name, a.id, a.status, a.header.Get("Server-Seal"))
+				if a.status == http.StatusNotFound {
+					d.note("payment %s ended with a 404, Server-Seal %q", a.id, a.header.Get("Server-Seal"))
 				}
 				mu.Lock()
 				defer mu.Unlock()
--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -76,11 +76,7 @@
 	}()
 	go func() {
 		every(100*time.Millisecond, stop, func() {
-			a := c.send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second)
-			payments.add(a.status)
-			if a.status != http.StatusOK {
-				d.note("client: payment %s answered %d after %s", a.id, a.status, time.Since(a.sent).Round(time.Millisecond))
-			}
+			payments.add(c.send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second).status)
 		})
 		done <- struct{}{}
 	}()
--- a/review/stand/missed.go
+++ b/review/stand/missed.go
@@ -71,11 +71,7 @@
 		answered[h.name] = counts
 		clients.Go(func() {
 			every(50*time.Millisecond, stop, func() {
-				a := c.send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second)
-				counts.add(a.status)
-				if a.status != http.StatusOK {
-					d.note("client of %s: payment %s answered %d after %s", h.name, a.id, a.status, time.Since(a.sent).Round(time.Millisecond))
-				}
+				counts.add(c.send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second).status)
 			})
 		})
 	}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -36,6 +36,8 @@
 	work  time.Duration
 	slots chan struct{}
 	ended atomic.Bool
+	// note writes a line to the record.
+	note func(format string, args ...any)
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -55,7 +57,7 @@
 func (d *deployment) addServer(service string, zone, slots int, work time.Duration) (*server, error) {
 	n := len(d.servers) + 1
 	s := &server{
-		id: fmt.Sprintf("i-%06x", n*40503), service: service, zone: zoneName(zone), work: work, slots: make(chan struct{}, slots),
+		id: fmt.Sprintf("i-%06x", n*40503), service: service, zone: zoneName(zone), work: work, slots: make(chan struct{}, slots), note: d.note,
 		address: d.address(fmt.Sprintf("127.61.%d.%d", 100+n/200, 1+n%200), offsetServer),
 	}
 	l, err := net.Listen("tcp", s.address)
@@ -103,6 +105,7 @@
 	}
 	defer func() { <-s.slots }()
 	time.Sleep(s.work)
+	s.note("server %s of %s in %s: ran %s %s %s with %d bytes", s.id, s.service, s.zone, id, r.Method, r.RequestURI, len(body))
 	w.Header().Set("Server-Seal", seal(s.service, id))
 	_, _ = w.Write(records(s.service, id))
 }
--- a/review/stand/twice.go
+++ b/review/stand/twice.go
@@ -103,6 +103,7 @@
 			if _, err := fmt.Fprintf(conn, "%s\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", head, id); err != nil {
 				return
 			}
+			s.d.note("server %s: refused %s", s.id, id)
 			s.runs.mu.Lock()
 			s.runs.sheds++
 			if s.faulty && rand.Float64() < spoiledShare {
@@ -120,6 +121,7 @@
 		time.Sleep(s.work)
 		<-s.slots
 		<-s.room
+		s.d.note("server %s: ran %s", s.id, id)
 		body := records(s.service, id)
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, seal(s.service, id), len(body), body); err != nil {
 			return
@@ -163,9 +165,6 @@
 	every(twiceInterval, time.Now().Add(twiceLength), func() {
 		a := clients[rand.IntN(len(clients))].send(http.MethodPost, "/pay/2f", "amount=1", 6*time.Second)
 		answered.add(a.status)
-		if a.status != http.StatusOK && a.status != http.StatusServiceUnavailable {
-			d.note("request %s was answered %d (%v) after %s", a.id, a.status, a.err, time.Since(a.sent).Round(time.Millisecond))
-		}
 		mu.Lock()
 		defer mu.Unlock()
 		status[a.id] = a.status
