--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,16 +33,17 @@
 	name := flag.String("case", "", "case to run")
 	binary := flag.String("host", "target/hyssophub", "program of the entry hosts")
 	record := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "whether the disruption takes place")
 	flag.Parse()
 	run, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(exitUnable)
 	}
-	os.Exit(execute(run, *binary, *record))
+	os.Exit(execute(run, *binary, *record, *trouble))
 }
 
-func execute(run func(*deployment, bool) (bool, error), binary, record string) int {
+func execute(run func(*deployment, bool) (bool, error), binary, record string, trouble bool) int {
 	d, err := newDeployment(binary, record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "case could not run:", err)
@@ -64,7 +65,7 @@
 		d.close()
 		os.Exit(exitUnable)
 	}()
-	broken, err := run(d, os.Getenv("TROUBLE") != "0")
+	broken, err := run(d, trouble)
 	switch {
 	case err != nil:
 		d.note("case could not run: %v", err)
