Review case 4: hosts stop following the store after large configurations

While a large configuration changes in quick succession, four of its versions fall into one pause of the hosts. Their watches then get an answer of 5.5 MB, of which platform/store.go reads 4 MiB; the rest is cut off without an error, the decoding fails, and the next watch asks for the same changes. All hosts of the tier miss every change until the store drops its history. A server that drains meanwhile is used until it exits.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,7 +23,7 @@
 )
 
 // caseLimit ends a case that hangs.
-const caseLimit = 110 * time.Second
+const caseLimit = 118 * time.Second
 
 // cases holds the cases by name. Each registers itself. The argument says whether the
 // disruption takes place.
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -21,6 +21,8 @@
 	Value   []byte `json:"Value,omitempty"`
 	Rev     uint64 `json:"Rev"`
 	Deleted bool   `json:"Deleted,omitempty"`
+
+	at time.Time
 }
 
 // store simulates the platform's metadata store.
@@ -37,6 +39,10 @@
 	cut     chan struct{}
 	// onRange, if not nil, is called before and after a page is read.
 	onRange func(prefix string, before bool)
+	// keep is how long changes are kept for watches; zero keeps all. dropped is the
+	// revision of the newest change that is no longer kept.
+	keep    time.Duration
+	dropped uint64
 }
 
 func newStore(address string) (*store, error) {
@@ -68,7 +74,7 @@
 	defer s.mu.Unlock()
 	for _, w := range writes {
 		s.revision++
-		i := item{Key: w.key, Rev: s.revision, Deleted: w.value == nil}
+		i := item{Key: w.key, Rev: s.revision, Deleted: w.value == nil, at: time.Now()}
 		if w.value == nil {
 			delete(s.items, w.key)
 		} else {
@@ -96,6 +102,20 @@
 	s.onRange = f
 }
 
+func (s *store) setHistory(keep time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keep = keep
+}
+
+// dropOld drops the changes that are no longer kept. The lock must be held.
+func (s *store) dropOld() {
+	for s.keep > 0 && len(s.history) > 0 && time.Since(s.history[0].at) > s.keep {
+		s.dropped = s.history[0].Rev
+		s.history = s.history[1:]
+	}
+}
+
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
 	prefix := r.FormValue("Prefix")
@@ -128,6 +148,12 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.dropOld()
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, i := range s.history {
 			if i.Rev > after {
