--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,8 @@
 	body   []byte
 	err    error
 	sent   time.Time
+	// kept is set if the request was sent on a connection that had served another one.
+	kept bool
 }
 
 // client sends requests to one host over connections that it keeps.
@@ -62,10 +65,14 @@
 		a.err = err
 		return a
 	}
+	var kept atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { kept.Store(i.Reused) }}
+	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	r.Host = hostName
 	r.Header.Set("Attempt-Id", a.id)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := c.http.Do(r)
+	a.kept = kept.Load()
 	if err != nil {
 		a.err = err
 		return a
