Read client accounts and their keys from the operators' rules

Cause: nothing knew a client account: any request was served, its key went on to the backend server, and the account header was the client's.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -32,6 +32,21 @@
 	return result
 }
 
+// Authorize implements platform.RequestHandler.
+func (s server) Authorize(view *rules.View, route *rules.Route, credential rules.Credential) rules.Authorization {
+	if view.Set.Accounts == nil {
+		return rules.Anonymous{}
+	}
+	return view.Authorize(route, credential, s.knowledge(), rules.Revocation(s.settings.Accounts))
+}
+
+// knowledge returns how far this host follows the operators' changes.
+func (s server) knowledge() rules.Knowledge {
+	status, now := s.syncer.Status(), time.Now()
+	_, behind := s.peers.NewestPeer(now)
+	return rules.Knowledge{Known: !status.CheckedAt.IsZero(), Age: now.Sub(status.CheckedAt), Behind: behind}
+}
+
 // RecordRejected implements platform.RequestHandler.
 func (s server) RecordRejected(r *http.Request, id string, reason fault.Reason) {
 	s.requestLog.Warn().Str("request", id).Str("authority", r.Host).Str("uri", r.RequestURI).Str("reason", string(reason)).
@@ -44,7 +59,7 @@
 	_, gathered := request.Route.Target.(rules.Gather)
 	routed := stats.RouteMeasurements{
 		Gathered: gathered,
-		Priority: request.Route.Priority,
+		Priority: request.Priority(),
 		Duration: took,
 		Sends:    report.Sends,
 		Hedges:   report.Hedges,
@@ -90,6 +105,9 @@
 		}
 		line.Array("lost", missingParts)
 	}
+	if request.Account != nil {
+		line.Str("account", request.Account.Name)
+	}
 	return line.Str("request", request.Message.ID).Str("route", request.Route.Name).Uint64("version", request.View.Set.Version).
 		Int64("revision", int64(s.hosts.Self().Revision)).Int("sends", report.Sends).Int("hedges", report.Hedges).Int("detours", report.Detours).Int("helpers", report.Helpers).
 		Dur("deadline", request.Deadline.Sub(request.Arrived))
--- a/fault/error.go
+++ b/fault/error.go
@@ -68,6 +68,10 @@
 	ReasonStopping      Reason = "stopping"
 	ReasonInternal      Reason = "internal"
 	ReasonNotAuthorized Reason = "not_authorized"
+	// ReasonUnknownKey: no client account of the rules in force has the key.
+	ReasonUnknownKey Reason = "unknown_key"
+	// ReasonAccountRate: the client account is over its rate for all hosts together.
+	ReasonAccountRate Reason = "account_rate"
 	// ReasonConflict: the idempotency key was used for a different request.
 	ReasonConflict Reason = "conflict"
 )
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -100,7 +100,7 @@
 		Services:       make([]string, len(x.parts)),
 		TopK:           r.gather.TopK,
 		MaxAttempts:    r.attempts(),
-		Priority:       r.request.Route.Priority,
+		Priority:       r.request.Priority(),
 		TargetLatency:  r.request.Route.TargetLatency,
 		TimeToAnswer:   r.answerAt.Sub(now) - x.margin,
 		TimeToDeadline: r.end.Sub(now),
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -216,9 +216,9 @@
 // may still answer before they count as failed.
 const helperGrace = 40 * time.Millisecond
 
-// classOf returns the worker pool's class for the priority of a route.
-func classOf(route *rules.Route) shard.Class {
-	if route.Priority <= maxUrgentPriority {
+// classOf returns the worker pool's class for the priority of a request.
+func classOf(r *Request) shard.Class {
+	if r.Priority() <= maxUrgentPriority {
 		return shard.Urgent
 	}
 	return shard.Routine
@@ -229,7 +229,7 @@
 const maxUrgentPriority = 1
 
 func (e *Engine) submit(r *requestState, j job) {
-	err := e.pool.Submit(classOf(r.request.Route), j)
+	err := e.pool.Submit(classOf(&r.request), j)
 	if err == nil {
 		return
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -35,6 +35,8 @@
 	Message *Message
 	View    *rules.View
 	Route   *rules.Route
+	// Account is the client account of the request; nil if it has none.
+	Account *rules.Account
 	Arrived time.Time
 	// NetworkTime is the part of the client's waiting time that is spent on the
 	// network between the client and this host.
@@ -43,6 +45,15 @@
 	Deadline time.Time
 }
 
+// Priority returns the rank of the request, that of its account before that of its
+// route; 0 is the most urgent.
+func (r *Request) Priority() int {
+	if r.Account != nil && r.Account.HasPriority {
+		return r.Account.Priority
+	}
+	return r.Route.Priority
+}
+
 // BackendRequest is one exchange with a backend server.
 type BackendRequest struct {
 	Choice   fleet.Choice
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,6 +1,6 @@
 // Package rules holds the routing rules that operators publish: routes, the
-// services that they lead to, size limits of requests, and the availability
-// zones that are taken out of service. It owns the matching of requests to
+// services that they lead to, size limits of requests, client accounts with their
+// keys, and the availability zones that are taken out of service. It owns the matching of requests to
 // routes and the order of rule versions, which only ever increase. Reading and
 // decoding the rules is left to other packages.
 package rules
@@ -68,6 +68,8 @@
 	MaxAttempts int
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
+	// Public requests need no account.
+	Public bool
 }
 
 // Service is a set of interchangeable backend servers.
@@ -97,4 +99,6 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Accounts are the client accounts; nil if requests need none.
+	Accounts []Account
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -45,6 +45,10 @@
 		return route.Name
 	case "version":
 		return fmt.Sprint(table.View().Set.Version)
+	case "accounts":
+		return acceptAccounts(t, table, d)
+	case "authorize":
+		return authorize(t, table, d)
 	case "pick":
 		return pick(t, table, d)
 	default:
--- a/rules/view.go
+++ b/rules/view.go
@@ -16,6 +16,7 @@
 
 	byHost   map[string][]*Route
 	services map[string]*Service
+	accounts map[Key]*Account
 }
 
 func newView(set Set, out map[string]bool) *View {
@@ -24,6 +25,7 @@
 		OutZones: out,
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(set.Services)),
+		accounts: make(map[Key]*Account, len(set.Accounts)),
 	}
 	for i := range set.Routes {
 		r := &set.Routes[i]
@@ -36,6 +38,11 @@
 	for i := range set.Services {
 		v.services[set.Services[i].Name] = &set.Services[i]
 	}
+	for i := range set.Accounts {
+		for _, k := range set.Accounts[i].Keys {
+			v.accounts[k] = &set.Accounts[i]
+		}
+	}
 	return v
 }
 
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -41,6 +41,16 @@
 	MemoryMB int
 	Stop     RelayStop
 	Budget   RelayBudget
+	Accounts RelayAccounts
+}
+
+// RelayAccounts says how a host treats the keys of client accounts while it cannot follow
+// the operators' changes.
+type RelayAccounts struct {
+	// Strict refuses them once the rules have not been confirmed for Bound; otherwise
+	// the last known keys stay valid.
+	Strict bool
+	Bound  time.Duration
 }
 
 // RelayStop holds the time limits of a planned stop.
@@ -58,7 +68,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the boolean first, the numbers cores and memory and the objects stop (grace) and budget (ratio, burst, window)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the boolean first, the numbers cores and memory and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -84,6 +94,10 @@
 		Burst  float64  `json:"burst"`
 		Window *float64 `json:"window"`
 	} `json:"budget"`
+	Accounts struct {
+		Strict bool     `json:"strict"`
+		Bound  *float64 `json:"bound"`
+	} `json:"accounts"`
 }
 
 // Defaults for a platform that does not set these bounds. Ratio and burst default
@@ -91,6 +105,7 @@
 const (
 	defaultGraceSeconds  = 6
 	defaultWindowSeconds = 10
+	defaultBoundSeconds  = 5
 )
 
 // ReadRelay reads and checks a settings file. The error names the file, each
@@ -118,6 +133,7 @@
 		return Relay{}, oops.Wrapf(err, "allowed is an object with %s", relayFields)
 	}
 	grace, window := valueOr(decoded.Stop.Grace, defaultGraceSeconds), valueOr(decoded.Budget.Window, defaultWindowSeconds)
+	bound := valueOr(decoded.Accounts.Bound, defaultBoundSeconds)
 	settings := Relay{
 		Name:          decoded.Name,
 		Zone:          decoded.Zone,
@@ -135,6 +151,7 @@
 		MemoryMB:   decoded.Memory,
 		Stop:       RelayStop{Grace: seconds(grace)},
 		Budget:     RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
+		Accounts:   RelayAccounts{Strict: decoded.Accounts.Strict, Bound: seconds(bound)},
 	}
 	errs := []error{checkName("name", decoded.Name), checkName("zone", decoded.Zone)}
 	for _, field := range []struct{ name, value string }{
@@ -152,6 +169,7 @@
 		checkRange("budget.ratio", decoded.Budget.Ratio, 0, 1),
 		checkRange("budget.burst", decoded.Budget.Burst, 0, maxBurst),
 		checkRange("budget.window", window, 1, maxWindowSeconds),
+		checkRange("accounts.bound", bound, 0, maxWindowSeconds),
 	)
 	return settings, errors.Join(errs...)
 }
