Decide on roll-outs of a service's version

Nothing in the product read an order to move a service to a version: servers of two versions shared the load. The choice of an instance takes the versions that a request may go to; without an order it keeps to the version that started first.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -24,6 +24,8 @@
 	// unhealthyCost is the added cost in seconds of an instance that seems down,
 	// stalled or overloaded. Such an instance is chosen only if no other is left.
 	unhealthyCost = 1000.0
+	// trialCost is the added cost in seconds for each trial that an instance got before.
+	trialCost = 10.0
 )
 
 // Constraints restrict the instances that a request may be sent to.
@@ -37,6 +39,11 @@
 	// HealthyOnly excludes instances that seem down, stalled, overloaded or
 	// unreachable.
 	HealthyOnly bool
+	// Versions holds which software versions the requests to a service may go to.
+	Versions map[string]Versions
+	// Trial, if not empty, is the only version that the request may go to. The instance
+	// with the fewest trials is chosen, so that all of them are judged.
+	Trial string
 	// Again is set if no instance could be chosen for the request before.
 	Again bool
 }
@@ -46,6 +53,8 @@
 	Instance
 	// Detour is set if another instance would have been better but bounds its requests.
 	Detour bool
+	// IsCold is set if the instance is cold.
+	IsCold bool
 	// ConnLimit is this host's share of the connections that the instance accepts;
 	// zero sets no limit.
 	ConnLimit int
@@ -98,7 +107,10 @@
 	}
 	best.inFlight = append(best.inFlight, now)
 	t.bounds.Send(best.flowServer(), now)
-	return Choice{Instance: best.Instance, Detour: detour, ConnLimit: t.connLimit(rule)}, refusal, true
+	if constraints.Trial != "" {
+		best.trials++
+	}
+	return Choice{Instance: best.Instance, Detour: detour, IsCold: best.isCold(now), ConnLimit: t.connLimit(rule)}, refusal, true
 }
 
 // best returns the eligible instance with the lowest cost, and whether one with a lower
@@ -128,6 +140,9 @@
 		if s.Zone != t.zone {
 			cost += crossZoneCost * constraints.TargetLatency.Seconds()
 		}
+		if constraints.Trial != "" {
+			cost += trialCost * float64(s.trials)
+		}
 		switch {
 		case isClosed:
 			refusal.add(closed.Until, now, reasonOf(closed))
@@ -201,7 +216,7 @@
 	if _, draining := s.State.(Draining); draining || constraints.Out[s.Zone] {
 		return false
 	}
-	if slices.Contains(exclude, s.ID) {
+	if slices.Contains(exclude, s.ID) || !t.isVersionAllowed(constraints, s) {
 		return false
 	}
 	if rule != nil && rule.ColdRate > 0 && s.isCold(now) {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -27,6 +27,8 @@
 	// Address is an IP address and port.
 	Address string
 	Zone    string
+	// Version is the version of the instance's software.
+	Version string
 	// Slots is the number of requests that the instance executes concurrently.
 	Slots int
 	State State
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -48,6 +48,7 @@
 		s.failureRate += failureWeight * (1 - s.failureRate)
 	case Leaving:
 		s.State = Draining{}
+		t.updateVersions(s.Service)
 	case Failed:
 		s.recordFailure(now)
 	case Abandoned:
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -11,6 +11,8 @@
 	Instance
 	// latencyUpdated is when latency was last updated.
 	latencyUpdated time.Time
+	// trials is the number of requests that were sent as trials of its version.
+	trials int
 	// inFlight holds the start times of this host's exchanges in progress, oldest
 	// first.
 	inFlight []time.Time
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -23,13 +23,16 @@
 	// hosts is the number of live hosts, by which connection limits of an instance are
 	// divided.
 	hosts int
+	// mixed holds the services whose instances have several software versions, with the
+	// one that requests go to without an order.
+	mixed map[string]string
 	// unreachable holds the availability zones that are considered unreachable.
 	unreachable map[string]bool
 }
 
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string, bounds *flow.Table) *Table {
-	return &Table{zone: zone, bounds: bounds, byID: make(map[string]*server), services: make(map[string][]*server), hosts: 1}
+	return &Table{zone: zone, bounds: bounds, byID: make(map[string]*server), services: make(map[string][]*server), mixed: make(map[string]string), hosts: 1}
 }
 
 // SetHosts sets the number of live hosts, this one included.
@@ -67,6 +70,7 @@
 		t.services[i.Service] = append(t.services[i.Service], s)
 	}
 	s.Instance = i
+	t.updateVersions(i.Service)
 	s.coldUntil = now.Add(i.ColdFor)
 	if i.ColdFor <= 0 {
 		t.bounds.EndCold(i.ID)
@@ -107,6 +111,7 @@
 	if len(t.services[s.Service]) == 0 {
 		delete(t.services, s.Service)
 	}
+	t.updateVersions(s.Service)
 }
 
 // CountInZone returns how many of the services have instances in the zone of the host.
