Serve roll-outs of a service's version

Hosts learn orders and statuses from the store and from each other, plan each send, hedge, repeat and part for another host by them, count the outcomes by version, tell the deciding hosts by datagrams, and write the status under conditions on the revisions of the order and of the former status. A host without an order pays one atomic load a send.

--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hyssophub/canary"
 	"hyssophub/flow"
 	"hyssophub/gossip"
 )
@@ -78,16 +79,20 @@
 	r.hosts.UpdateSelf(func(record *gossip.Record) { record.Joined = joined })
 	known := r.hosts.Known(now)
 	members := make([]flow.Member, 0, len(known))
+	deciders := make([]canary.Member, 0, len(known))
 	for _, k := range known {
+		address := r.permits.PermitAddress(k.HeartbeatAddress)
+		deciders = append(deciders, canary.Member{Name: k.Name, Address: address, Live: k.Live, Joined: k.Joined})
 		members = append(members, flow.Member{
 			Name:        k.Name,
 			Zone:        k.Zone,
 			Incarnation: k.Incarnation,
-			Address:     r.permits.PermitAddress(k.HeartbeatAddress),
+			Address:     address,
 			Live:        k.Live,
 			Leaving:     k.Leaving,
 			Joined:      k.Joined,
 		})
 	}
 	r.bounds.SetMembers(members, now)
+	r.rollouts.SetMembers(deciders)
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"hyssophub/canary"
 	"hyssophub/dial"
 	"hyssophub/feed"
 	"hyssophub/fleet"
@@ -72,6 +73,7 @@
 	rules      *rules.Table
 	fleet      *fleet.Table
 	bounds     *flow.Table
+	rollouts   *canary.Table
 	relayTable *relay.Table
 	engine     *relay.Engine
 	backends   *dial.Client
@@ -124,6 +126,7 @@
 	r.syncer.Start(r.settings.Together)
 	r.jobs.Go(r.sendHeartbeats)
 	r.jobs.Go(r.askForPermits)
+	r.jobs.Go(r.followRollouts)
 	r.jobs.Go(r.probeZones)
 	r.jobs.Go(r.closeStaleConnections)
 	r.log.Info().Str("zone", settings.Zone).Str("front", settings.ClientAddr).Msg("host started")
@@ -152,7 +155,9 @@
 	if err := r.buildPeers(); err != nil {
 		return err
 	}
+	r.rollouts = canary.NewTable(r.settings.Name, r.settings.Zone, uint64(r.started.UnixMilli()), r.fleet)
 	r.relayTable = relay.NewTable(r.rules, r.fleet, r.hosts, relay.BudgetLimits(r.settings.Budget), assumedHosts)
+	r.relayTable.UseRollouts(r.rollouts)
 	r.backends = dial.NewClient()
 	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
 		Host:       r.settings.Name,
@@ -163,6 +168,7 @@
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
 	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
+	r.syncer.UseRollouts(r.rollouts)
 	r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats)
 	return err
 }
--- /dev/null
+++ b/daemon/rollouts.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"hyssophub/canary"
+	"hyssophub/work"
+)
+
+// rolloutInterval is the time between two checks of the roll-outs in progress. A verdict
+// passes from the counts of one host to another one in three of them.
+const rolloutInterval = 200 * time.Millisecond
+
+// followRollouts carries out what the table of roll-outs decides, until the host closes.
+func (r *Relay) followRollouts() {
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			work.Guard(r.reportPanic, func() { r.tickRollouts(time.Now()) })
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) tickRollouts(now time.Time) {
+	for _, action := range r.rollouts.Tick(now) {
+		switch a := action.(type) {
+		case canary.Tell:
+			if err := r.permits.TellRollout(a); err != nil {
+				r.log.Debug().Err(err).Msg("report on a roll-out not sent")
+			}
+		case canary.Write:
+			// The store may be slow, and the other roll-outs go on.
+			r.jobs.Go(func() { work.Guard(r.reportPanic, func() { r.writeStatus(a) }) })
+		case canary.Decided:
+			r.logRollout(a.Summary, "roll-out decided")
+		}
+	}
+}
+
+// writeStatus writes a status to the store. After an error the table repeats the write
+// with the same conditions.
+func (r *Relay) writeStatus(w canary.Write) {
+	ctx, cancel := context.WithTimeout(r.ctx, writeTimeout)
+	defer cancel()
+	revision, err := r.store.WriteStatus(ctx, w)
+	line := r.log.Info()
+	if err != nil {
+		line = r.log.Warn().Err(err)
+	} else {
+		r.rollouts.Written(w, revision, time.Now())
+	}
+	line.Str("service", w.Status.Service).Str("target", w.Status.Target).Str("stage", canary.NameOf(w.Status.Stage)).
+		Uint64("order", w.OrderRevision).Uint64("after", w.StatusRevision).Uint64("revision", revision).Msg("status of a roll-out written")
+}
+
+// writeTimeout bounds a write of a status.
+const writeTimeout = 1500 * time.Millisecond
+
+func (r *Relay) logRollout(s canary.Summary, message string) {
+	r.log.Info().Str("service", s.Order.Service).Str("target", s.Order.Target).Str("stage", canary.NameOf(s.Stage)).Str("reason", s.Reason).
+		Dur("age", s.Age).Dur("duration", s.Order.Duration).Int("sent", s.Sent).Int("sent_target", s.SentTarget).Int("bad", s.Bad).
+		Str("evidence", s.Evidence.String()).Msg(message)
+}
+
+// Hear implements peer.PermitHandler.
+func (h permitHandler) Hear(reports []canary.Report) []canary.Report {
+	var replies []canary.Report
+	for _, report := range reports {
+		if reply, ok := h.rollouts.Hear(report, time.Now()); ok {
+			replies = append(replies, reply)
+		}
+	}
+	return replies
+}
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -157,6 +157,8 @@
 		s.malformed++
 		s.fleet.Remove(c.ID, c.Revision)
 		s.log.Warn().Str("key", c.Key).Err(c.Err).Msg("malformed store entry ignored")
+	default:
+		s.applyRollout(c, now)
 	}
 }
 
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"hyssophub/canary"
 	"hyssophub/fleet"
 	"hyssophub/rules"
 	"hyssophub/work"
@@ -58,7 +59,9 @@
 	peers  Peers
 	rules  *rules.Table
 	fleet  *fleet.Table
-	log    zerolog.Logger
+	// rollouts, if not nil, are the roll-outs of services' versions.
+	rollouts *canary.Table
+	log      zerolog.Logger
 	// onPanic, if not nil, is called with the panic of a step, which then counts as
 	// a failed call.
 	onPanic func(work.Panic)
--- a/peer/fields_test.go
+++ b/peer/fields_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"hyssophub/canary"
 	"hyssophub/feed"
 	"hyssophub/flow"
 	"hyssophub/gossip"
@@ -99,6 +100,8 @@
 	return nil
 }
 
+func (recordingPermits) Hear([]canary.Report) []canary.Report { return nil }
+
 func (recordingPermits) Accept(uint64, []flow.Grant) {}
 
 func (r recordingPermits) Tell(_ string, announced flow.Announcement) []flow.Announcement {
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 
+	"hyssophub/canary"
 	"hyssophub/flow"
 	"hyssophub/peer/peerpb"
 	"hyssophub/work"
@@ -23,6 +24,8 @@
 	Accept(number uint64, grants []flow.Grant)
 	// Tell applies an announcement of a host, and returns what to pass on.
 	Tell(host string, announced flow.Announcement) []flow.Announcement
+	// Hear applies reports on roll-outs, and returns the replies.
+	Hear(reports []canary.Report) []canary.Report
 }
 
 // PermitSocket sends and receives asks for permits, the grants that answer them, and
@@ -54,6 +57,7 @@
 			return
 		}
 		now := time.Now()
+		s.hearReports(&msg, from, handler)
 		if len(msg.GetLeaving())+len(msg.GetLimited()) > 0 {
 			for _, n := range handler.Tell(msg.GetHost(), decodeAnnouncement(&msg, now)) {
 				_ = s.Announce(n)
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"hyssophub/canary"
 	"hyssophub/flow"
 	"hyssophub/peer/peerpb"
 )
@@ -17,10 +18,11 @@
 	asked   chan []flow.Ask
 	granted chan []flow.Grant
 	told    chan flow.Announcement
+	heard   chan []canary.Report
 }
 
 func newPermitRecorder() permitRecorder {
-	return permitRecorder{asked: make(chan []flow.Ask, 8), granted: make(chan []flow.Grant, 8), told: make(chan flow.Announcement, 8)}
+	return permitRecorder{asked: make(chan []flow.Ask, 8), granted: make(chan []flow.Grant, 8), told: make(chan flow.Announcement, 8), heard: make(chan []canary.Report, 8)}
 }
 
 func (r permitRecorder) Answer(_ string, asks []flow.Ask) []flow.Grant {
@@ -37,6 +39,15 @@
 	return nil
 }
 
+// Hear replies with the reports of the first host, so that both ways are covered.
+func (r permitRecorder) Hear(reports []canary.Report) []canary.Report {
+	r.heard <- reports
+	if reports[0].Host != "asking" {
+		return nil
+	}
+	return reports
+}
+
 func (r permitRecorder) Accept(_ uint64, grants []flow.Grant) { r.granted <- grants }
 
 func listenPermits(t *testing.T, name string) (*PermitSocket, permitRecorder) {
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -39,6 +39,9 @@
 // excluded too, for retries and hedges.
 func (t *Table) scope(view *rules.View) fleet.Constraints {
 	scope := fleet.Constraints{View: view, Out: view.OutZones}
+	if t.rollouts != nil {
+		scope.Versions = t.rollouts.Versions()
+	}
 	if current := t.rules.View(); current != nil {
 		scope.Out = current.OutZones
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -82,7 +82,7 @@
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
 	scope.TargetLatency, scope.HealthyOnly, scope.Again = r.request.Route.TargetLatency, healthyOnly, p.unchosen
-	choice, refusal, ok := t.fleet.Choose(scope, p.service, p.tried[p.excludedFrom:], now)
+	choice, refusal, ok := t.choose(scope, p, now)
 	if !ok {
 		r.recordRefusal(refusal)
 		p.reason = cmp.Or(refusal.Reason, p.reason)
@@ -106,6 +106,7 @@
 			Again:    slices.Contains(p.tried, choice.ID),
 		},
 	}
+	t.beginTrial(x)
 	p.open = append(p.open, x)
 	p.tried = append(p.tried, choice.ID)
 	p.sends++
--- a/relay/state.go
+++ b/relay/state.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"hyssophub/canary"
 	"hyssophub/fault"
 	"hyssophub/fleet"
 	"hyssophub/rules"
@@ -117,6 +118,8 @@
 	request BackendRequest
 	began   time.Time
 	hedge   bool
+	// ticket identifies the send in the roll-out of its service, if there is one.
+	ticket canary.Ticket
 }
 
 func (p *part) isDone() bool { return p.answer != nil }
--- a/relay/table.go
+++ b/relay/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hyssophub/canary"
 	"hyssophub/fault"
 	"hyssophub/fleet"
 	"hyssophub/flow"
@@ -52,10 +53,12 @@
 // requests. Its lock is acquired after the lock of rules and before that of
 // fleet.
 type Table struct {
-	rules  *rules.Table
-	fleet  *fleet.Table
-	hosts  *gossip.Table
-	limits BudgetLimits
+	rules *rules.Table
+	fleet *fleet.Table
+	hosts *gossip.Table
+	// rollouts are the roll-outs of services' versions; nil if there are none.
+	rollouts *canary.Table
+	limits   BudgetLimits
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -277,6 +280,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fleet.Observe(x.request.Choice.ID, x.began, observe(x, outcome, now), now)
+	t.endTrial(x, outcome, now)
 	var changes []flow.Change
 	if notice := noticeOf(outcome); notice != nil {
 		changes = t.fleet.Learn(x.request.Choice, *notice, x.began, now)
