Play roll-outs with real processes, and judge the move by itself

The soak's store takes conditional writes and its servers have a version with a drawn fault. Hosts share the further trials by how many of them send to the service: a gathered request reaches a service from one host of each zone, and 59 of 63 parts were unused.

--- a/canary/duty.go
+++ b/canary/duty.go
@@ -22,11 +22,12 @@
 	// writePause is the time between two writes of a host.
 	writePause = 600 * time.Millisecond
 	// reportPause is the least time between two reports of a host, and reportTime the
-	// longest one while the roll-out is not decided. perHost is added to reportPause for
-	// each live host, so that the deciding host is not flooded.
+	// time between two reports of all counts. perHost and perHostFull are added to them for
+	// each host, so that the deciding hosts are not flooded.
 	reportPause = 250 * time.Millisecond
 	reportTime  = time.Second
 	perHost     = time.Millisecond
+	perHostFull = 10 * time.Millisecond
 	// deciders is the number of hosts that get the reports.
 	deciders = 2
 	// writers is the number of hosts that may write the status.
@@ -152,8 +153,11 @@
 	default:
 		return false
 	}
-	if _, isObserving := r.stage.(Observing); !isObserving {
-		return false
+	if _, isMoving := r.stage.(Moving); isMoving {
+		if !t.isMoved(r, now) || evidence.Log < logFinal {
+			return false
+		}
+		return r.enter(RolledBack{}, "at the end of the move, "+evidence.String(), now)
 	}
 	deadline := r.since.Add(r.order.Duration)
 	switch moveAt := r.completeBy().Add(-r.moveTime(sum, now)).Add(wait); {
@@ -186,7 +190,7 @@
 		}
 		due = r.since
 	case Moving:
-		if !t.isMoved(s, now) {
+		if !t.isMoved(r, now) {
 			return Write{}, false
 		}
 		stage, due = Complete{}, r.changedAt.Add(moveMin)
@@ -205,8 +209,7 @@
 
 // isMoved reports whether no request is on its way to an old server, as far as the hosts
 // reported, or the time of the move has passed.
-func (t *Table) isMoved(s *service, now time.Time) bool {
-	r := s.rollout
+func (t *Table) isMoved(r *rollout, now time.Time) bool {
 	age := now.Sub(r.changedAt)
 	if age >= moveMax {
 		return true
@@ -265,7 +268,7 @@
 			addresses = append(addresses, m.Address)
 		}
 	}
-	isFull := now.Sub(d.lastReport) >= reportTime
+	isFull := now.Sub(d.lastReport) >= reportTime+time.Duration(len(t.members))*perHostFull
 	rows := r.changedRows(isFull)
 	_, isMoving := r.stage.(Moving)
 	if len(addresses) == 0 || (len(rows) == 0 && !isFull && !isMoving) {
@@ -311,11 +314,30 @@
 		Stage:       r.stage,
 		Reason:      r.reason,
 		Open:        r.open,
+		Senders:     t.countSenders(r),
 	}
 }
 
+// countSenders returns the number of hosts that send to the service; zero on a host that
+// gets no reports.
+func (t *Table) countSenders(r *rollout) int {
+	if r.duty.self < 0 || r.duty.self >= deciders {
+		return 0
+	}
+	count := 0
+	if r.sent > 0 {
+		count++
+	}
+	for _, p := range r.peers {
+		if p.sent > 0 {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
 // Hear applies a report of another host. It returns the reply to send, if the other host
-// is at an earlier stage.
+// is at an earlier stage, or reports to this one as a deciding host.
 func (t *Table) Hear(report Report, now time.Time) (Report, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -336,13 +358,16 @@
 	}
 	p.stage, p.open = report.Stage, report.Open
 	for _, row := range report.Rows {
-		p.rows[row.Key] = p.rows[row.Key].max(row.Tally)
-	}
-	if rankOf(report.Stage) < rankOf(r.stage) {
-		return t.bare(r, now), true
+		before := p.rows[row.Key]
+		after := before.max(row.Tally)
+		p.rows[row.Key] = after
+		p.sent += after.Sent - before.Sent
+		r.sums[row.Key] = r.sums[row.Key].plus(after, before)
 	}
 	if _, isComplete := report.Stage.(Complete); !isComplete && !s.isDecided() && r.enter(report.Stage, report.Reason, now) {
 		t.publish()
 	}
-	return Report{}, false
+	r.senders = max(r.senders, report.Senders)
+	isDecider := r.duty.self >= 0 && r.duty.self < deciders
+	return t.bare(r, now), rankOf(report.Stage) < rankOf(r.stage) || (isDecider && report.Senders == 0)
 }
--- a/canary/expose.go
+++ b/canary/expose.go
@@ -11,9 +11,9 @@
 	share = 0.06
 	// sharedExtra is the number of further sends of all hosts together: without it a
 	// service with a few requests a second could not be judged. The bound is 50.
-	sharedExtra = 30
+	sharedExtra = 34
 	// extraTime is the part of the duration in which these are released.
-	extraTime = 0.7
+	extraTime = 0.85
 	// exposureShare and exposureSlack bound the sends to a bad version: a part of all
 	// sends and a number, some of which is left to hosts that learn of a stage late.
 	exposureShare = 0.1
@@ -35,16 +35,25 @@
 }
 
 // sharing returns the number of hosts that share the further sends of a roll-out: the
-// greatest number that was live, since hosts that are lost may go on. It is zero while
+// greatest number that was live, since hosts that are lost may go on, or fewer if few of
+// them send to the service. It is zero while
 // this host has not joined, and may not know the others.
 func (t *Table) sharing(r *rollout) int {
 	r.hosts = max(r.hosts, t.hosts)
 	if !t.hasJoined {
 		return 0
 	}
+	senders := max(r.senders, t.countSenders(r))
+	if senders > 0 {
+		return min(r.hosts, senderFactor*senders+senderFactor)
+	}
 	return r.hosts
 }
 
+// senderFactor is the factor by which hosts that share the further sends are more than
+// those known to send to the service, since others may begin.
+const senderFactor = 2
+
 // phaseOf returns the phase of a host, in [0, 1), for an order.
 func phaseOf(host string, o Order) float64 {
 	return float64(hash(host, o.Service, o.Target)>>11) / (1 << 53)
--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -88,6 +88,9 @@
 	Route    string
 	// IsNear is set if the server is in the zone of the host.
 	IsNear bool
+	// IsMove is set for sends during the move, which have no others beside them to compare
+	// them with.
+	IsMove bool
 }
 
 // Tally counts the exchanges of one host. The counts only grow.
@@ -141,6 +144,19 @@
 	}
 }
 
+// plus returns the sum of two tallies; minus, which is part of one, is taken off.
+func (t Tally) plus(other, minus Tally) Tally {
+	t.Sent += other.Sent - minus.Sent
+	t.Answers += other.Answers - minus.Answers
+	t.Failed += other.Failed - minus.Failed
+	t.Lost += other.Lost - minus.Lost
+	for i := range t.Times {
+		t.Times[i] += other.Times[i] - minus.Times[i]
+		t.Waits[i] += other.Waits[i] - minus.Waits[i]
+	}
+	return t
+}
+
 // Row is a Tally with what it counts.
 type Row struct {
 	Key
@@ -162,6 +178,8 @@
 	Reason string
 	// Open is the number of exchanges with old servers in progress.
 	Open int
+	// Senders is the number of hosts that send to the service, as far as the host knows.
+	Senders int
 	// Rows are cumulative counts; rows that did not change may be left out.
 	Rows []Row
 }
--- a/canary/send.go
+++ b/canary/send.go
@@ -62,7 +62,8 @@
 		return Ticket{}
 	}
 	r := s.rollout
-	key := Key{Server: server, Zone: zone, IsTarget: version == r.order.Target, Route: route, IsNear: zone == t.zone}
+	_, isMove := r.stage.(Moving)
+	key := Key{Server: server, Zone: zone, IsTarget: version == r.order.Target, Route: route, IsNear: zone == t.zone, IsMove: isMove}
 	r.row(key).Sent++
 	r.sent++
 	if key.IsTarget {
@@ -131,10 +132,8 @@
 // allRows returns the counts of all hosts that reported.
 func (r *rollout) allRows() []Row {
 	rows := r.ownRows()
-	for _, p := range r.peers {
-		for key, tally := range p.rows {
-			rows = append(rows, Row{Key: key, Tally: tally})
-		}
+	for key, tally := range r.sums {
+		rows = append(rows, Row{Key: key, Tally: tally})
 	}
 	return rows
 }
--- a/canary/table.go
+++ b/canary/table.go
@@ -65,9 +65,12 @@
 	open int
 	// rows are the counts of this host.
 	rows map[Key]*row
-	// peers holds the counts of other hosts.
+	// peers holds the counts of other hosts, sums their sums by what they count.
 	peers map[source]*peer
-	duty  duty
+	sums  map[Key]Tally
+	// senders is the number of hosts that send to the service, as a deciding host said.
+	senders int
+	duty    duty
 }
 
 // row is a Tally of this host and what was last reported of it.
@@ -87,6 +90,7 @@
 	rows  map[Key]Tally
 	stage Stage
 	open  int
+	sent  uint32
 }
 
 // NewTable returns a table without roll-outs.
@@ -168,6 +172,7 @@
 		changedAt: now,
 		rows:      make(map[Key]*row),
 		peers:     make(map[source]*peer),
+		sums:      make(map[Key]Tally),
 	}
 	s.follow(now)
 }
--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -14,12 +14,14 @@
 
 // followRollouts carries out what the table of roll-outs decides, until the host closes.
 func (r *Relay) followRollouts() {
+	var mixed map[string]string
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			work.Guard(r.reportPanic, func() { r.tickRollouts(time.Now()) })
+			mixed = r.logMixed(mixed)
 		case <-r.ctx.Done():
 			return
 		}
@@ -42,6 +44,18 @@
 	}
 }
 
+// logMixed logs which services have servers of several versions since the last call, and
+// which version their requests go to without an order.
+func (r *Relay) logMixed(before map[string]string) map[string]string {
+	mixed := r.fleet.MixedServices()
+	for service, version := range mixed {
+		if _, known := before[service]; !known {
+			r.log.Info().Str("service", service).Str("version", version).Msg("service has servers of several versions")
+		}
+	}
+	return mixed
+}
+
 // writeStatus writes a status to the store. After an error the table repeats the write
 // with the same conditions.
 func (r *Relay) writeStatus(w canary.Write) {
--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -20,6 +21,17 @@
 func (OnlyVersion) versions()   {}
 func (OtherVersions) versions() {}
 
+// MixedServices returns the services whose instances have several software versions, with
+// the one that requests go to without an order.
+func (t *Table) MixedServices() map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.mixed) == 0 {
+		return nil
+	}
+	return maps.Clone(t.mixed)
+}
+
 // CountVersion returns the number of instances of a service with a software version that
 // are not draining.
 func (t *Table) CountVersion(service, version string) int {
--- a/peer/rollouts.go
+++ b/peer/rollouts.go
@@ -47,7 +47,7 @@
 func encodeReport(r canary.Report) *peerpb.Rollout {
 	msg := &peerpb.Rollout{
 		Service: r.Service, Target: r.Target, Revision: r.Revision, Age: uint64(max(0, r.Age.Milliseconds())),
-		Reason: r.Reason, Open: uint32(max(0, r.Open)), Run: r.Incarnation,
+		Reason: r.Reason, Open: uint32(max(0, r.Open)), Run: r.Incarnation, Senders: uint32(max(0, r.Senders)),
 	}
 	for i, stage := range stages {
 		if canary.NameOf(stage) == canary.NameOf(r.Stage) {
@@ -56,7 +56,7 @@
 	}
 	for _, row := range r.Rows {
 		msg.Rows = append(msg.Rows, &peerpb.Tally{
-			Server: row.Server, Zone: row.Zone, Target: row.IsTarget, Route: row.Route, Near: row.IsNear,
+			Server: row.Server, Zone: row.Zone, Target: row.IsTarget, Route: row.Route, Near: row.IsNear, Move: row.IsMove,
 			Sent: row.Sent, Answers: row.Answers, Failed: row.Failed, Lost: row.Lost,
 			Times: encodeHistogram(row.Times), Waits: encodeHistogram(row.Waits),
 		})
@@ -77,11 +77,11 @@
 		r := canary.Report{
 			Host: host, Incarnation: msg.GetRun(), Service: msg.GetService(), Target: msg.GetTarget(), Revision: msg.GetRevision(),
 			Age:   time.Duration(min(msg.GetAge(), uint64(maxAge.Milliseconds()))) * time.Millisecond,
-			Stage: stages[msg.GetStage()], Reason: msg.GetReason(), Open: int(msg.GetOpen()),
+			Stage: stages[msg.GetStage()], Reason: msg.GetReason(), Open: int(msg.GetOpen()), Senders: int(msg.GetSenders()),
 		}
 		for _, row := range msg.GetRows() {
 			r.Rows = append(r.Rows, canary.Row{
-				Key:   canary.Key{Server: row.GetServer(), Zone: row.GetZone(), IsTarget: row.GetTarget(), Route: row.GetRoute(), IsNear: row.GetNear()},
+				Key:   canary.Key{Server: row.GetServer(), Zone: row.GetZone(), IsTarget: row.GetTarget(), Route: row.GetRoute(), IsNear: row.GetNear(), IsMove: row.GetMove()},
 				Tally: canary.Tally{Sent: row.GetSent(), Answers: row.GetAnswers(), Failed: row.GetFailed(), Lost: row.GetLost(), Times: decodeHistogram(row.GetTimes()), Waits: decodeHistogram(row.GetWaits())},
 			})
 		}
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -48,6 +48,9 @@
 	id         string
 	service    string
 	zone       string
+	version    string
+	started    time.Time
+	trial      trial
 	executions *executions
 	http       *http.Server
 	proxy      *proxy
@@ -111,6 +114,7 @@
 		return
 	}
 	w.Header().Set("Attempt-Id", id)
+	defer s.trial.begin()()
 	if r.Header.Get("Expect-Instance") != s.id {
 		w.Header().Set("Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -145,6 +149,9 @@
 		s.executions.addViolation("server %s of %s got request %s changed: %s %s with a body of %d bytes", s.id, s.service, id, r.Method, r.RequestURI, len(body))
 	}
 	s.executions.add(id + "/" + s.service)
+	if s.trial.fail(w, r, s.service, id) {
+		return
+	}
 	sleep(executionTime)
 	answer := records(s.service, id)
 	if r.RequestURI == pathOnce {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 var (
 	seedCount = flag.Int("soak.seeds", 0, "number of seeds to run in addition to the regression seeds")
 	firstSeed = flag.Uint64("soak.first", 0, "first additional seed; 0 derives it from the clock")
+	network   = flag.String("soak.net", "127.0", "first two numbers of the loopback addresses, so that two runs do not meet")
 	faultTime = flag.Duration("soak.span", 8*time.Second, "time during which faults are injected for each seed")
 )
 
@@ -32,6 +33,9 @@
 
 const clientCount = 8
 
+// loopback returns an address of the run: its first two numbers are those of the flag.
+func loopback(rest string) string { return *network + "." + rest }
+
 // TestSoak guards against lost, repeated or wrongly merged answers, requests to
 // servers that have left, and a slow recovery while faults follow each other and
 // overlap.
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -51,6 +51,8 @@
 	// changed is closed and replaced at each write.
 	changed chan struct{}
 	fault   storeFault
+	// onStatus, if not nil, is called with each status of a roll-out as it is written.
+	onStatus func(service, state string)
 }
 
 func newStore(addr string) (*store, error) {
@@ -62,6 +64,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
+	mux.HandleFunc("POST /kv-txn", s.serveChange)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	return s, nil
