--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -12,9 +12,14 @@
 // passes from the counts of one host to another one in three of them.
 const rolloutInterval = 200 * time.Millisecond
 
+// progressInterval is the time between two log lines on a roll-out in progress.
+const progressInterval = 2 * time.Second
+
 // followRollouts carries out what the table of roll-outs decides, until the host closes.
 func (r *Relay) followRollouts() {
 	var mixed map[string]string
+	progress := time.NewTicker(progressInterval)
+	defer progress.Stop()
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
 	for {
@@ -22,12 +27,23 @@
 		case <-ticker.C:
 			work.Guard(r.reportPanic, func() { r.tickRollouts(time.Now()) })
 			mixed = r.logMixed(mixed)
+		case <-progress.C:
+			work.Guard(r.reportPanic, r.logProgress)
 		case <-r.ctx.Done():
 			return
 		}
 	}
 }
 
+// logProgress logs the roll-outs that this host decides on.
+func (r *Relay) logProgress() {
+	for _, s := range r.rollouts.Summaries(time.Now()) {
+		if s.IsDecider && !s.IsDecided {
+			r.logRollout(s, "roll-out in progress")
+		}
+	}
+}
+
 func (r *Relay) tickRollouts(now time.Time) {
 	for _, action := range r.rollouts.Tick(now) {
 		switch a := action.(type) {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -123,27 +123,31 @@
 	self := r.hosts.Self()
 	live, _ := r.hosts.Counts(now)
 	bounded := r.bounds.Counts(now)
+	rollouts := r.rollouts.Counts()
 	followed := r.syncer.Status()
 	age := -time.Millisecond
 	if !followed.CheckedAt.IsZero() {
 		age = now.Sub(followed.CheckedAt)
 	}
 	return stats.TierState{
-		Version:     r.rulesVersion(),
-		Revision:    self.Revision,
-		Watching:    self.Watching,
-		Age:         age,
-		InDoubt:     followed.InDoubt,
-		Malformed:   followed.Malformed,
-		Ready:       r.Ready(),
-		Hosts:       live,
-		Servers:     r.fleet.Size(),
-		CutOffZones: len(r.hosts.UnreachableZones(now)),
-		Limited:     bounded.Limited,
-		Paused:      bounded.Paused,
-		Leaving:     bounded.Leaving,
-		Dropped:     r.droppedLines(),
-		Panics:      r.panics.Load(),
+		Version:      r.rulesVersion(),
+		Revision:     self.Revision,
+		Watching:     self.Watching,
+		Age:          age,
+		InDoubt:      followed.InDoubt,
+		Malformed:    followed.Malformed,
+		Ready:        r.Ready(),
+		Hosts:        live,
+		Servers:      r.fleet.Size(),
+		CutOffZones:  len(r.hosts.UnreachableZones(now)),
+		Limited:      bounded.Limited,
+		Paused:       bounded.Paused,
+		Leaving:      bounded.Leaving,
+		Rollouts:     rollouts.Open,
+		HeldRollouts: rollouts.Held,
+		Trials:       rollouts.Trials,
+		Dropped:      r.droppedLines(),
+		Panics:       r.panics.Load(),
 	}
 }
 
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -74,6 +74,12 @@
 	Limited int
 	Paused  int
 	Leaving int
+	// Rollouts is the number of roll-outs of services' versions without a verdict, HeldRollouts
+	// that of those to whose target version this host sends nothing, and Trials the number
+	// of its sends to the target versions.
+	Rollouts     int
+	HeldRollouts int
+	Trials       int
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
 	// Panics is the number of panics that ended a request or a job.
@@ -132,6 +138,9 @@
 		{"hyssophub.tier.limited", "Backend servers that name a rate limit.", func(t TierState) int64 { return int64(t.Limited) }},
 		{"hyssophub.tier.paused", "Backend servers that want no request from this host at present.", func(t TierState) int64 { return int64(t.Paused) }},
 		{"hyssophub.tier.leaving", "Backend servers that said that they are shutting down.", func(t TierState) int64 { return int64(t.Leaving) }},
+		{"hyssophub.tier.rollouts", "Roll-outs of services' versions without a verdict.", func(t TierState) int64 { return int64(t.Rollouts) }},
+		{"hyssophub.tier.rollouts_held", "Roll-outs without a verdict to whose target version this host sends nothing.", func(t TierState) int64 { return int64(t.HeldRollouts) }},
+		{"hyssophub.tier.trials", "Requests of this host sent to the target versions of roll-outs without a verdict.", func(t TierState) int64 { return int64(t.Trials) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
 		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
