--- a/canary/expose.go
+++ b/canary/expose.go
@@ -81,7 +81,7 @@
 	// to be written: the greater of a time, for the lag at which hosts learn of the order
 	// and for the call, and a part of the duration.
 	writeMargin = 1500 * time.Millisecond
-	writeShare  = 0.08
+	writeShare  = 0.04
 	// moveMin and moveMax bound the time of the move. A shorter one shows no faults
 	// under load.
 	moveMin = time.Second
