--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -112,7 +112,7 @@
 	sleep(time.Until(rollouts[0].ordered.Add(duration)))
 	// What a disturbance held up is done at the latest now.
 	end := time.Now().Add(skewTime)
-	for time.Now().Before(end) && !(rollouts[0].isDecided() && rollouts[1].isDecided()) {
+	for time.Now().Before(end) && (!rollouts[0].isDecided() || !rollouts[1].isDecided()) {
 		sleep(100 * time.Millisecond)
 	}
 	sleep(2 * time.Second)
