Deny the target of a replaced order, and let new deciders hear the counts first

An order for a third version left the former target, which nobody had judged, among the versions that get all requests. A host that becomes one of the two deciding ones just before the move knew only its own counts, and could complete a bad version. Servers without a start time could change the version that requests go to without an order when they registered again.

--- a/canary/duty.go
+++ b/canary/duty.go
@@ -44,6 +44,9 @@
 	nextReport time.Time
 	lastReport time.Time
 	nextWrite  time.Time
+	// decidesSince is when this host became one of those that get the reports; zero while
+	// it is none.
+	decidesSince time.Time
 	// told is the stage that all hosts were told of by this one.
 	told int
 }
@@ -102,7 +105,7 @@
 
 func (t *Table) tick(s *service, now time.Time) []Action {
 	r := s.rollout
-	t.rank(r)
+	t.rank(r, now)
 	var actions []Action
 	if t.decide(r, now) {
 		actions = append(actions, Decided{Summary: t.summary(s, now)})
@@ -114,7 +117,7 @@
 }
 
 // rank sets the order in which the hosts decide.
-func (t *Table) rank(r *rollout) {
+func (t *Table) rank(r *rollout, now time.Time) {
 	d := &r.duty
 	if d.ranks != nil && d.epoch == t.epoch {
 		return
@@ -132,6 +135,12 @@
 		return compareNames(a.Name, b.Name)
 	})
 	d.self = slices.IndexFunc(d.ranks, func(m Member) bool { return m.Name == t.host })
+	switch isDecider := d.self >= 0 && d.self < deciders; {
+	case !isDecider:
+		d.decidesSince = time.Time{}
+	case d.decidesSince.IsZero():
+		d.decidesSince = now
+	}
 }
 
 // decide changes the stage if it is this host's duty, and reports whether it did.
@@ -161,7 +170,7 @@
 	}
 	deadline := r.since.Add(r.order.Duration)
 	switch moveAt := r.completeBy().Add(-r.moveTime(sum, now)).Add(wait); {
-	case now.Before(moveAt):
+	case now.Before(moveAt), now.Before(d.decidesSince.Add(t.fullReportTime())):
 		return false
 	case evidence.Log >= logFinal:
 		return r.enter(RolledBack{}, "at the end of the observation, "+evidence.String(), now)
@@ -268,7 +277,7 @@
 			addresses = append(addresses, m.Address)
 		}
 	}
-	isFull := now.Sub(d.lastReport) >= reportTime+time.Duration(len(t.members))*perHostFull
+	isFull := now.Sub(d.lastReport) >= t.fullReportTime()
 	rows := r.changedRows(isFull)
 	_, isMoving := r.stage.(Moving)
 	if len(addresses) == 0 || (len(rows) == 0 && !isFull && !isMoving) {
@@ -287,6 +296,12 @@
 	return actions
 }
 
+// fullReportTime is the time in which each host reports all of its counts: a host that has
+// decided for less may not have them.
+func (t *Table) fullReportTime() time.Duration {
+	return reportTime + time.Duration(len(t.members))*perHostFull
+}
+
 // maxRows is the number of rows of which a report fits into a datagram of 1,400 bytes.
 const maxRows = 10
 
--- a/canary/script_test.go
+++ b/canary/script_test.go
@@ -89,7 +89,7 @@
 	n := s.w.nodes[0]
 	name := props.Text(t, d, "name")
 	for _, other := range s.w.nodes {
-		if other.name == name || (name == "first" && s.w.rankOf(other) < s.w.rankOf(n)) {
+		if other.name == name || (name == "first" && s.w.rankOf(other) < s.w.rankOf(n)) || (name == "second" && s.w.rankOf(other) == 1) {
 			n = other
 		}
 	}
--- a/canary/table.go
+++ b/canary/table.go
@@ -163,6 +163,10 @@
 			return
 		}
 	}
+	if r := s.rollout; r != nil && rankOf(r.stage) < rankOf(Complete{}) {
+		// The order that is replaced ends without a verdict for its target.
+		s.deny(r.order.Target)
+	}
 	s.denied = slices.DeleteFunc(slices.Clone(s.denied), func(v string) bool { return v == o.Target })
 	s.rollout = &rollout{
 		order:     o,
@@ -299,7 +303,12 @@
 		case Moving, Complete:
 			return fleet.OnlyVersion{Version: r.order.Target}
 		default:
-			return fleet.OtherVersions{Denied: append(slices.Clone(s.denied), r.order.Target)}
+			denied := append(slices.Clone(s.denied), r.order.Target)
+			if s.status.Stage != nil && rankOf(s.status.Stage) < rankOf(Complete{}) && s.status.Target != r.order.Target {
+				// The target of a former order that got no verdict.
+				denied = append(denied, s.status.Target)
+			}
+			return fleet.OtherVersions{Denied: denied}
 		}
 	}
 	if _, isComplete := s.status.Stage.(Complete); isComplete && !slices.Contains(s.denied, s.status.Target) {
--- a/canary/world_test.go
+++ b/canary/world_test.go
@@ -38,6 +38,7 @@
 	serviceName = "s"
 	oldName     = "v1"
 	newName     = "v2"
+	nextName    = "v3"
 	linkTime    = 2 * time.Millisecond
 	feedTime    = 600 * time.Millisecond
 )
@@ -102,7 +103,7 @@
 
 func newWorld(seed uint64, hosts, zones int, rate float64) *world {
 	start := time.Unix(1000, 0)
-	w := &world{start: start, now: start, random: rand.New(rand.NewPCG(seed, 1)), rate: rate, routes: 2, servers: make(map[string]*backend), counts: map[string]*count{oldName: {}, newName: {}}, store: store{revision: 10}}
+	w := &world{start: start, now: start, random: rand.New(rand.NewPCG(seed, 1)), rate: rate, routes: 2, servers: make(map[string]*backend), counts: map[string]*count{oldName: {}, newName: {}, nextName: {}}, store: store{revision: 10}}
 	routing := rules.NewTable(0)
 	routing.Apply(rules.Set{Version: 1, Services: []rules.Service{{Name: serviceName}}})
 	w.view = routing.View()
@@ -140,7 +141,7 @@
 func (w *world) serverIDs() []string {
 	ids := make([]string, 0, len(w.servers))
 	for i := range 2 * len(w.servers) {
-		for _, version := range []string{oldName, newName} {
+		for _, version := range []string{oldName, newName, nextName} {
 			if id := fmt.Sprintf("%s-%d", version, i); w.servers[id] != nil {
 				ids = append(ids, id)
 			}
--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -81,8 +81,7 @@
 		delete(t.mixed, service)
 		return
 	}
-	first := slices.MinFunc(ready, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.StartMs, b.StartMs), cmp.Compare(a.Revision, b.Revision))
-	})
+	// Of servers without a start time, the one that this host knew first counts.
+	first := slices.MinFunc(ready, func(a, b *server) int { return cmp.Compare(a.StartMs, b.StartMs) })
 	t.mixed[service] = first.Version
 }
