Take the store's state from the conflict of a write, and keep verdicts over eras

A host that does not hear of changes, or holds a status that a restored store has lost, wrote with the same wrong condition until the changes came. Table.EnterEra says that the store's revisions start again: stages and verdicts stay, an order that repeats the known one is that one, and a lost verdict is written again.

--- a/canary/duty.go
+++ b/canary/duty.go
@@ -240,6 +240,26 @@
 	return true
 }
 
+// Conflict applies the result of a Write whose conditions did not hold: the revision of the
+// order in the store, and the status there, whose Stage is nil if there is none.
+func (t *Table) Conflict(w Write, orderRevision uint64, status Status, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[w.Status.Service]
+	if s == nil || s.rollout == nil || s.rollout.order.Revision != w.OrderRevision || orderRevision != w.OrderRevision {
+		// The change of the order arrives with those of the store.
+		return
+	}
+	if status.Stage == nil {
+		// There is none, or one that cannot be read.
+		s.status.Revision = status.Revision
+		return
+	}
+	// Of a store that was restored, the revision may be below the known one.
+	s.status.Revision = 0
+	t.setStatus(status, now)
+}
+
 // Written applies the result of a Write that took effect: the status has the given
 // revision. A write without this result is repeated.
 func (t *Table) Written(w Write, revision uint64, now time.Time) {
--- a/canary/script_test.go
+++ b/canary/script_test.go
@@ -40,7 +40,7 @@
 	case "withdraw":
 		s.w.withdraw()
 	case "older-copy":
-		s.w.restoreOlderCopy()
+		s.w.restoreOlderCopy(d.HasArg("late"))
 	case "fault":
 		s.fault(t, d)
 	case "rate":
@@ -170,11 +170,18 @@
 }
 
 // restoreOlderCopy brings the store back from a copy without the status. The operators
-// write their order again, at a lower revision.
-func (w *world) restoreOlderCopy() {
-	w.store.revision = w.store.order.Revision - 1
+// write their order again, at a lower revision than before, or at a higher one if it is
+// late.
+func (w *world) restoreOlderCopy(isLate bool) {
 	w.store.order.Revision--
+	if isLate {
+		w.store.order.Revision += 100
+	}
+	w.store.revision = w.store.order.Revision
 	w.store.status = Status{}
 	w.store.verdicts = nil
+	for _, n := range w.nodes {
+		n.table.EnterEra()
+	}
 	w.publish()
 }
--- a/canary/table.go
+++ b/canary/table.go
@@ -43,6 +43,9 @@
 	status Status
 	// denied holds versions that were rolled back.
 	denied []string
+	// isRestored is set from the return of the store from an older copy until its order is
+	// known: an order that repeats the former one is that one.
+	isRestored bool
 }
 
 // rollout is a roll-out in progress, or one whose verdict is in the store.
@@ -156,13 +159,13 @@
 			return
 		}
 		isSame := r.order.Target == o.Target && r.order.Duration == o.Duration
-		if isSame && s.status.Revision > o.Revision {
+		if isSame && (s.isRestored || s.status.Revision > o.Revision) {
 			r.order = o
-			s.status.Revision = 0
-			r.duty = duty{}
+			s.isRestored, s.status.Revision, r.duty = false, 0, duty{}
 			return
 		}
 	}
+	s.isRestored = false
 	if r := s.rollout; r != nil && rankOf(r.stage) < rankOf(Complete{}) {
 		// The order that is replaced ends without a verdict for its target.
 		s.deny(r.order.Target)
@@ -181,6 +184,21 @@
 	s.follow(now)
 }
 
+// EnterEra is to be called when the store has come back from an older copy, before what it
+// holds is applied: its revisions start again. Stages and verdicts stay, and statuses that
+// the store has lost are written again.
+func (t *Table) EnterEra() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		s.isRestored, s.status.Revision = true, 0
+		if s.rollout != nil {
+			s.rollout.duty = duty{}
+		}
+	}
+	t.publish()
+}
+
 // Withdraw applies the deletion of an order.
 func (t *Table) Withdraw(name string) {
 	t.mu.Lock()
--- a/canary/world_test.go
+++ b/canary/world_test.go
@@ -255,7 +255,13 @@
 	}
 	w.after(wait, func() {
 		s := &w.store
-		if s.down || s.order.Revision != a.OrderRevision || s.status.Revision != a.StatusRevision {
+		if s.down {
+			return
+		}
+		if s.order.Revision != a.OrderRevision || s.status.Revision != a.StatusRevision {
+			if !loses && n.up && !n.isPaused {
+				n.table.Conflict(a, s.order.Revision, s.status, w.now)
+			}
 			return
 		}
 		s.revision++
--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"hyssophub/canary"
+	"hyssophub/platform"
 	"hyssophub/work"
 )
 
@@ -79,10 +81,15 @@
 	defer cancel()
 	revision, err := r.store.WriteStatus(ctx, w)
 	line := r.log.Info()
-	if err != nil {
-		line = r.log.Warn().Err(err)
-	} else {
+	var conflict platform.Conflict
+	switch {
+	case err == nil:
 		r.rollouts.Written(w, revision, time.Now())
+	case errors.As(err, &conflict):
+		line = line.Err(err)
+		r.rollouts.Conflict(w, conflict.OrderRevision, conflict.Status, time.Now())
+	default:
+		line = r.log.Warn().Err(err)
 	}
 	line.Str("service", w.Status.Service).Str("target", w.Status.Target).Str("stage", canary.NameOf(w.Status.Stage)).
 		Uint64("order", w.OrderRevision).Uint64("after", w.StatusRevision).Uint64("revision", revision).Msg("status of a roll-out written")
