--- a/canary/duty.go
+++ b/canary/duty.go
@@ -47,8 +47,10 @@
 	// decidesSince is when this host became one of those that get the reports; zero while
 	// it is none.
 	decidesSince time.Time
-	// told is the stage that all hosts were told of by this one.
-	told int
+	// told is the stage that all hosts were told of by this one, and shown the one that
+	// was logged.
+	told  int
+	shown int
 }
 
 // Action is what is to be done for a roll-out. The interface is sealed.
@@ -67,13 +69,13 @@
 		OrderRevision  uint64
 		StatusRevision uint64
 	}
-	// Decided says, for logs, that this host decided on a stage.
-	Decided struct{ Summary Summary }
+	// Entered says, for logs, that the roll-out has entered a stage on this host.
+	Entered struct{ Summary Summary }
 )
 
 func (Tell) action()    {}
 func (Write) action()   {}
-func (Decided) action() {}
+func (Entered) action() {}
 
 // Tick returns what is to be done now. It is to be called several times a second.
 func (t *Table) Tick(now time.Time) []Action {
@@ -107,8 +109,10 @@
 	r := s.rollout
 	t.rank(r, now)
 	var actions []Action
-	if t.decide(r, now) {
-		actions = append(actions, Decided{Summary: t.summary(s, now)})
+	t.decide(r, now)
+	if rank := rankOf(r.stage); rank > r.duty.shown {
+		r.duty.shown = rank
+		actions = append(actions, Entered{Summary: t.summary(s, now)})
 	}
 	if w, ok := t.write(s, now); ok {
 		actions = append(actions, w)
@@ -143,44 +147,38 @@
 	}
 }
 
-// decide changes the stage if it is this host's duty, and reports whether it did.
-func (t *Table) decide(r *rollout, now time.Time) bool {
+// decide changes the stage if it is this host's duty.
+func (t *Table) decide(r *rollout, now time.Time) {
 	d := &r.duty
-	if d.self < 0 || d.self >= deciders {
-		return false
+	if d.self < 0 || d.self >= deciders || rankOf(r.stage) >= rankOf(RolledBack{}) {
+		return
 	}
-	wait := time.Duration(d.self) * takeoverDelay
 	rows := r.allRows()
 	servers := t.fleet.CountVersion(r.order.Service, r.order.Target)
 	evidence := judge(rows, servers)
-	sum := total(rows)
-	switch r.stage.(type) {
-	case Observing, Moving:
-		if evidence.Log >= logStop {
-			return r.enter(RolledBack{}, evidence.String(), now)
-		}
-	default:
-		return false
+	if evidence.Log >= logStop {
+		r.enter(RolledBack{}, evidence.String(), now)
+		return
 	}
 	if _, isMoving := r.stage.(Moving); isMoving {
-		if !t.isMoved(r, now) || evidence.Log < logFinal {
-			return false
+		if t.isMoved(r, now) && evidence.Log >= logFinal {
+			r.enter(RolledBack{}, "at the end of the move, "+evidence.String(), now)
 		}
-		return r.enter(RolledBack{}, "at the end of the move, "+evidence.String(), now)
+		return
 	}
-	deadline := r.since.Add(r.order.Duration)
-	switch moveAt := r.completeBy().Add(-r.moveTime(sum, now)).Add(wait); {
+	wait := time.Duration(d.self) * takeoverDelay
+	sum := total(rows)
+	moveAt := r.completeBy().Add(-r.moveTime(sum, now)).Add(wait)
+	switch deadline := r.since.Add(r.order.Duration).Add(wait); {
 	case now.Before(moveAt), now.Before(d.decidesSince.Add(t.fullReportTime())):
-		return false
 	case evidence.Log >= logFinal:
-		return r.enter(RolledBack{}, "at the end of the observation, "+evidence.String(), now)
+		r.enter(RolledBack{}, "at the end of the observation, "+evidence.String(), now)
 	case servers > 0 && (sum.good > 0 || sum.sent == 0):
-		return r.enter(Moving{}, "", now)
-	case now.Before(deadline.Add(wait)):
+		r.enter(Moving{}, "", now)
+	case now.Before(deadline):
 		// The first answers of the target version may still come.
-		return false
 	default:
-		return r.enter(RolledBack{}, fmt.Sprintf("no good answer of %d servers of the target version", servers), now)
+		r.enter(RolledBack{}, fmt.Sprintf("no good answer of %d servers of the target version", servers), now)
 	}
 }
 
--- a/canary/world_test.go
+++ b/canary/world_test.go
@@ -219,7 +219,7 @@
 			}
 		case Write:
 			w.write(n, a)
-		case Decided:
+		case Entered:
 			n.logs = append(n.logs, NameOf(a.Summary.Stage)+" "+a.Summary.Reason+" ["+a.Summary.Evidence.String()+"]")
 		}
 	}
--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -56,8 +56,8 @@
 		case canary.Write:
 			// The store may be slow, and the other roll-outs go on.
 			r.jobs.Go(func() { work.Guard(r.reportPanic, func() { r.writeStatus(a) }) })
-		case canary.Decided:
-			r.logRollout(a.Summary, "roll-out decided")
+		case canary.Entered:
+			r.logRollout(a.Summary, "roll-out entered a stage")
 		}
 	}
 }
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -105,6 +105,9 @@
 		}
 		line.Array("lost", missingParts)
 	}
+	if report.Trials > 0 {
+		line.Int("trials", report.Trials)
+	}
 	if request.Account != nil {
 		line.Str("account", request.Account.Name)
 	}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -91,6 +91,8 @@
 	// Detours is the number of sends to a server that was chosen because a better one
 	// bounds its requests.
 	Detours int
+	// Trials is the number of sends to the target version of a roll-out without a verdict.
+	Trials int
 	// Helpers is the number of hosts that parts were delegated to.
 	Helpers int
 	// Unanswered lists the services without an answer.
@@ -312,7 +314,7 @@
 func (t *Table) report(r *requestState) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	report := Report{Sends: r.sends, Hedges: r.hedges, Detours: r.detours}
+	report := Report{Sends: r.sends, Hedges: r.hedges, Detours: r.detours, Trials: r.trials}
 	for i := range r.parts {
 		p := &r.parts[i]
 		if p.answer == nil {
--- a/relay/rollout.go
+++ b/relay/rollout.go
@@ -50,6 +50,9 @@
 	}
 	choice := x.request.Choice
 	x.ticket = t.rollouts.Begin(choice.Service, x.state.request.Route.Name, choice.ID, choice.Zone, choice.Version, choice.IsCold)
+	if x.ticket.Key.IsTarget {
+		x.state.trials++
+	}
 }
 
 // endTrial records the outcome of a send for the roll-out of its service.
--- a/relay/state.go
+++ b/relay/state.go
@@ -63,6 +63,8 @@
 	// detours counts the exchanges with an instance that was chosen because a better one
 	// bounds its requests.
 	detours int
+	// trials counts the exchanges with servers of the target version of a roll-out.
+	trials int
 	// serverRetryAfter is the time after which a server that refuses requests
 	// at present accepts one; zero if unknown.
 	serverRetryAfter time.Duration
