Keep the old servers as long as the deadline allows

The verdict was written as soon as the move was confirmed, up to 5 s before the deadline: the target version then got all requests with nothing to return to. The move is watched until 2 s or 4% of the time before the deadline.

--- a/canary/duty.go
+++ b/canary/duty.go
@@ -214,14 +214,18 @@
 	}, true
 }
 
-// isMoved reports whether no request is on its way to an old server, as far as the hosts
-// reported, or the time of the move has passed.
+// isMoved reports whether the verdict is due, and no request is on its way to an old server
+// as far as the hosts reported, or confirmTime has passed. Until then the old servers can
+// take the requests back.
 func (t *Table) isMoved(r *rollout, now time.Time) bool {
-	age := now.Sub(r.changedAt)
-	if age >= moveMax {
+	due := r.completeBy()
+	if earliest := r.changedAt.Add(moveMin); due.Before(earliest) {
+		due = earliest
+	}
+	if !now.Before(due.Add(confirmTime)) {
 		return true
 	}
-	if age < moveMin || r.open > 0 || r.duty.self >= deciders {
+	if now.Before(due) || r.open > 0 || r.duty.self >= deciders {
 		return false
 	}
 	confirmed := make(map[string]bool, len(r.peers))
--- a/canary/expose.go
+++ b/canary/expose.go
@@ -80,22 +80,29 @@
 	// writeMargin and writeShare are the time before the deadline at which the verdict is
 	// to be written: the greater of a time, for the lag at which hosts learn of the order
 	// and for the call, and a part of the duration.
-	writeMargin = 1500 * time.Millisecond
+	writeMargin = 2 * time.Second
 	writeShare  = 0.04
 	// moveMin and moveMax bound the time of the move. A shorter one shows no faults
 	// under load.
 	moveMin = time.Second
 	moveMax = 3 * time.Second
+	// confirmTime is how long after completeBy the verdict waits for hosts that have not
+	// confirmed that nothing is on its way to the old servers.
+	confirmTime = time.Second
 )
 
+// margin is the time before the deadline at which the verdict is to be written.
+func (r *rollout) margin() time.Duration {
+	return max(writeMargin, time.Duration(writeShare*float64(r.order.Duration)))
+}
+
 // completeBy is when the verdict is to be written.
 func (r *rollout) completeBy() time.Time {
-	margin := max(writeMargin, time.Duration(writeShare*float64(r.order.Duration)))
-	return r.since.Add(max(0, r.order.Duration-margin))
+	return r.since.Add(max(0, r.order.Duration-r.margin()))
 }
 
-// moveTime is the time of the move: the sends that the bounds leave to the target
-// version at the counted rate of sends.
+// moveTime is the time of the move: the sends that the bounds leave to the target version
+// until the deadline, at the counted rate of sends.
 func (r *rollout) moveTime(total totals, now time.Time) time.Duration {
 	age := now.Sub(r.since).Seconds()
 	if total.sent == 0 || age <= 0 {
@@ -103,5 +110,5 @@
 	}
 	rate := float64(total.sent) / age
 	left := exposureShare*rate*r.order.Duration.Seconds() + exposureSlack - float64(total.sentTarget)
-	return min(moveMax, max(moveMin, time.Duration(left/rate*float64(time.Second))))
+	return min(moveMax, max(moveMin, time.Duration(left/rate*float64(time.Second))-r.margin()))
 }
