Test hosts against crowds of hostile clients

Each test starts one host with lowered limits, opens a crowd of connections that hold its memory or descriptors, and requires that the process lives within its bounds and answers an ordinary request.

--- /dev/null
+++ b/soak/crowd_test.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"hyssophub/props"
+)
+
+// The tests of this file run one host against a crowd of clients that do not keep to
+// the protocol, or keep to it and hold many requests open. Each guards against a process
+// that ends, that uses more memory or descriptors than its machine has, or that answers
+// no ordinary request any more. The crowds and bounds are in testdata/crowds. The tests
+// run apart from other packages, see .ci/run.
+
+func TestCrowdWholeBodies(t *testing.T)      { runCrowd(t, "whole") }
+func TestCrowdShortBodies(t *testing.T)      { runCrowd(t, "short") }
+func TestCrowdOneChunk(t *testing.T)         { runCrowd(t, "chunk") }
+func TestCrowdSmallChunks(t *testing.T)      { runCrowd(t, "chunks") }
+func TestCrowdLargeHeads(t *testing.T)       { runCrowd(t, "heads") }
+func TestCrowdEndlessHeads(t *testing.T)     { runCrowd(t, "endless") }
+func TestCrowdEmptyLines(t *testing.T)       { runCrowd(t, "lines") }
+func TestCrowdSilent(t *testing.T)           { runCrowd(t, "silent") }
+func TestCrowdUnreadAnswers(t *testing.T)    { runCrowd(t, "unread") }
+func TestCrowdPipelined(t *testing.T)        { runCrowd(t, "pipelined") }
+func TestCrowdOnHostListener(t *testing.T)   { runCrowd(t, "hosts") }
+func TestCrowdOnOtherListeners(t *testing.T) { runCrowd(t, "others") }
+func TestCrowdOfLegalBodies(t *testing.T)    { runCrowd(t, "burst") }
+
+// Addresses of the tests of crowds, apart from those of the soak, and the limit on
+// connections to a server, which admits a burst although the host expects others.
+const (
+	crowdStore       = "127.0.0.1:21902"
+	crowdHost        = "127.0.20.1"
+	crowdServerPort  = 23000
+	crowdConnections = 1200
+)
+
+const (
+	// crowdWrite bounds the time in which a client of a crowd sends its bytes. A host
+	// that reads nothing ends it.
+	crowdWrite = 5 * time.Second
+	// crowdStart is the time for the start of a host, and answerTime that for an
+	// ordinary request. They are far above what a host needs.
+	crowdStart = 20 * time.Second
+	answerTime = 20 * time.Second
+	// crowdHold is the time for which the connections of a crowd stay open before the
+	// check, so that a busy host accepts them and reads what was sent.
+	crowdHold = 3 * time.Second
+	// sampleInterval is the time between two counts of the open descriptors.
+	sampleInterval = 20 * time.Millisecond
+)
+
+// crowd is the state of one script.
+type crowd struct {
+	deployment *deployment
+	host       *host
+	conns      []net.Conn
+	// peakFiles is the greatest number of descriptors that the process had open.
+	peakFiles int
+}
+
+func runCrowd(t *testing.T, name string) {
+	c := &crowd{}
+	datadriven.RunTest(t, filepath.Join("testdata", "crowds", name), func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "start":
+			c.start(t, int(props.Number(t, d, "memory")), int(props.Number(t, d, "files")), int(props.Number(t, d, "body")))
+		case "crowd":
+			c.send(t, d)
+		case "check":
+			return c.check(t, int(props.Number(t, d, "memory")), int(props.Number(t, d, "files")))
+		case "burst":
+			return c.burst(t, int(props.Number(t, d, "count")), int(props.Number(t, d, "body")))
+		default:
+			d.Fatalf(t, "unknown command")
+		}
+		return ""
+	})
+}
+
+// start starts a host with the given memory in MB and number of descriptors, and the
+// operators' limit on bodies in bytes.
+func (c *crowd) start(t *testing.T, memory, files, body int) {
+	binary := filepath.Join(t.TempDir(), "hyssophub")
+	require.NoError(t, exec.Command("go", "build", "-o", binary, "hyssophub/cmd/hyssophub").Run())
+	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: crowdServerPort, bodyLimit: body, connections: crowdConnections}
+	var err error
+	d.store, err = newStore(crowdStore)
+	require.NoError(t, err)
+	for range zones {
+		d.addServer("single", zoneName(0))
+	}
+	d.writeRules()
+	c.host = &host{name: "host-0-0", ip: crowdHost, zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}
+	c.deployment = d
+	require.NoError(t, c.host.configure(crowdStore, nil))
+	require.NoError(t, c.host.start())
+	t.Cleanup(func() {
+		for _, conn := range c.conns {
+			_ = conn.Close()
+		}
+		c.host.signal(syscall.SIGKILL)
+		c.host.waitExit(time.Second)
+		for _, s := range d.serverList() {
+			s.close()
+		}
+		d.store.close()
+	})
+	require.Eventually(t, func() bool { return c.ordinary() == nil }, crowdStart, 50*time.Millisecond, "the host serves")
+}
+
+// ports are the listeners of a host by their names in the scripts.
+var ports = map[string]int{"clients": portClients, "hosts": portPeer, "readiness": portReadiness, "metrics": portMetrics}
+
+// send opens connections, sends the input of the command on each, and returns when all
+// are done or the host has closed them. The connections stay open.
+func (c *crowd) send(t *testing.T, d *datadriven.TestData) {
+	count := int(props.Number(t, d, "count"))
+	address := c.host.address(ports[props.Text(t, d, "to")])
+	message := crowdMessage(t, d)
+	var (
+		mu    sync.Mutex
+		group sync.WaitGroup
+	)
+	done := make(chan struct{})
+	for range count {
+		group.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, crowdWrite)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			c.conns = append(c.conns, conn)
+			mu.Unlock()
+			_ = conn.SetWriteDeadline(time.Now().Add(crowdWrite))
+			message(conn)
+		})
+	}
+	go func() { group.Wait(); close(done) }()
+	for {
+		c.countFiles()
+		select {
+		case <-done:
+			return
+		case <-time.After(sampleInterval):
+		}
+	}
+}
+
+// crowdMessage returns what a client of a crowd writes: the input of the command, with
+// "$n" for the end of a line, and then a body or a block without end.
+func crowdMessage(t *testing.T, d *datadriven.TestData) func(io.Writer) {
+	head := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), "$n", "\r\n")
+	switch {
+	case d.HasArg("endless"):
+		size := int(props.Number(t, d, "endless"))
+		head, block, _ := strings.Cut(head, "$repeat")
+		blocks := strings.Repeat(block, max(1, blockRepeats/len(block)*1024))
+		return func(w io.Writer) {
+			_, err := io.WriteString(w, head)
+			for sent := 0; err == nil && sent < size; sent += len(blocks) {
+				_, err = io.WriteString(w, blocks)
+			}
+		}
+	case d.HasArg("body"):
+		size := int(props.Number(t, d, "body"))
+		body := bytes.Repeat([]byte("x"), size)
+		if d.HasArg("chunk") {
+			body = chunked(body, int(props.Number(t, d, "chunk")))
+		}
+		return func(w io.Writer) {
+			if _, err := io.WriteString(w, head); err == nil {
+				_, _ = w.Write(body)
+			}
+		}
+	default:
+		times := 1
+		if d.HasArg("times") {
+			times = int(props.Number(t, d, "times"))
+		}
+		all := strings.Repeat(head, times)
+		return func(w io.Writer) { _, _ = io.WriteString(w, all) }
+	}
+}
+
+// chunked encodes a body in chunks of the given size, without the last, empty one. The
+// last byte of the body is announced and not sent.
+func chunked(body []byte, size int) []byte {
+	var b bytes.Buffer
+	for len(body) > 0 {
+		n := min(size, len(body))
+		_, _ = fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return b.Bytes()[:b.Len()-len("x\r\n")]
+}
+
+func (c *crowd) countFiles() {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.host.process.Process.Pid))
+	if err == nil {
+		c.peakFiles = max(c.peakFiles, len(entries))
+	}
+}
+
+// check requires that the process lives and has kept within the bounds, and that one
+// ordinary request is answered while the crowd's connections are open.
+func (c *crowd) check(t *testing.T, memory, files int) string {
+	for end := time.Now().Add(crowdHold); time.Now().Before(end); sleep(sampleInterval) {
+		c.countFiles()
+	}
+	require.Eventually(t, func() bool { return !c.host.isRunning() || c.ordinary() == nil }, answerTime, 100*time.Millisecond, "an ordinary request is answered")
+	c.countFiles()
+	peak := c.host.checkMemory(c.deployment.executions)
+	t.Logf("peak memory %d MB of %d, descriptors %d of %d", peak>>20, memory, c.peakFiles, files)
+	require.Positive(t, peak, "the process lives")
+	require.LessOrEqual(t, peak, memory<<20, "peak memory in bytes")
+	require.LessOrEqual(t, c.peakFiles, files, "open descriptors")
+	return "ok\n"
+}
+
+// ordinary sends one request on a connection of its own.
+func (c *crowd) ordinary() error {
+	status, err := c.request("ordinary", http.MethodGet, pathSingle, nil)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+func (c *crowd) request(id, method, path string, body []byte) (int, error) {
+	client := &http.Client{Timeout: crowdWrite, Transport: &http.Transport{DisableKeepAlives: true}}
+	request, err := http.NewRequest(method, "http://"+c.host.address(portClients)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Host = soakHost
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(crowdWrite.Milliseconds(), 10))
+	request.Header.Set(headerCopy, id)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// burst sends bodies within the limits, all at once, and requires an answer to each.
+func (c *crowd) burst(t *testing.T, count, size int) string {
+	body := bytes.Repeat([]byte("x"), size)
+	results := make([]string, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			status, err := c.request("burst-"+strconv.Itoa(i), http.MethodPost, pathOnce, body)
+			if err != nil || status != http.StatusOK {
+				results[i] = fmt.Sprintf("request %d: status %d, %v", i, status, err)
+			}
+		})
+	}
+	group.Wait()
+	for _, r := range results {
+		require.Empty(t, r)
+	}
+	return "ok\n"
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -36,6 +36,10 @@
 	servers map[string]*server
 	version uint64
 	port    int
+	// bodyLimit is the operators' limit on the body of a request, in bytes.
+	bodyLimit int
+	// connections is the operators' limit on the connections to a backend server.
+	connections int
 }
 
 // recordDisturbance records the time of a fault of the store or of a host that is
@@ -48,7 +52,7 @@
 const firstServerPort = 22000
 
 func newDeployment(t *testing.T, binary string) *deployment {
-	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: firstServerPort}
+	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: firstServerPort, bodyLimit: 65536, connections: 60}
 	var err error
 	d.store, err = newStore("127.0.0.1:21900")
 	require.NoError(t, err)
@@ -69,7 +73,7 @@
 	var seeds []string
 	for z := range zones {
 		for i := range hostsPerZone {
-			h := &host{name: fmt.Sprintf("host-%d-%d", z, i), ip: fmt.Sprintf("127.0.%d.%d", 10+z, 1+i), zone: zoneName(z), dir: dir, binary: binary}
+			h := &host{name: fmt.Sprintf("host-%d-%d", z, i), ip: fmt.Sprintf("127.0.%d.%d", 10+z, 1+i), zone: zoneName(z), dir: dir, binary: binary, memory: 284}
 			d.hosts = append(d.hosts, h)
 			if i == 0 {
 				seeds = append(seeds, h.address(portPeer))
@@ -136,11 +140,11 @@
 	version := d.version
 	d.mu.Unlock()
 	var gather []string
-	services := []map[string]any{{"Name": "single", "HealthPath": "/health", "MaxConns": 60}}
+	services := []map[string]any{{"Name": "single", "HealthPath": "/health", "MaxConns": d.connections}}
 	for s := range shards {
 		name := fmt.Sprintf("shard-%d", s)
 		gather = append(gather, name)
-		services = append(services, map[string]any{"Name": name, "HealthPath": "/health", "MaxConns": 60})
+		services = append(services, map[string]any{"Name": name, "HealthPath": "/health", "MaxConns": d.connections})
 	}
 	route := func(name, prefix, kind string, extra map[string]any) map[string]any {
 		r := map[string]any{"Name": name, "Host": "soak.example", "Prefix": prefix, "Kind": kind, "TimeoutMs": 2000, "TargetLatencyMs": 250, "Priority": 1, "MaxAttempts": 2}
@@ -157,7 +161,7 @@
 			route("pay", "/pay/", "non_idempotent", map[string]any{"Service": "single"}),
 		},
 		"Services": services,
-		"Limits":   map[string]any{"HeaderBytes": 16384, "BodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 60000},
+		"Limits":   map[string]any{"HeaderBytes": 16384, "BodyBytes": d.bodyLimit, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 60000},
 	})
 }
 
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -29,6 +29,11 @@
 	dir    string
 	binary string
 
+	// memory is the memory of the host in MB, and descriptors the number of its file
+	// descriptors; zero sets none.
+	memory      int
+	descriptors int
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
@@ -46,7 +51,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": h.zone, "front": h.address(portClients), "ready": h.address(portReadiness),
 		"peer": h.address(portPeer), "stats": h.address(portMetrics), "beat": h.address(portHeartbeat),
-		"cores": 0.4, "store": store, "seeds": seeds, "memory": 284,
+		"cores": 0.4, "store": store, "seeds": seeds, "memory": h.memory, "files": h.descriptors,
 		"stop":   map[string]any{"grace": 6},
 		"budget": map[string]any{"ratio": 0.2, "burst": 58, "window": 10},
 	})
