Treat answers that are none in the protocol as broken off

net/http takes a status such as 000 or +20 for an informational response and 600 or 999 for a final one, joins folded lines, drops a repeated length, and keeps names with spaces. A backend server in trouble could so make a host wait for its deadline, and what followed on the connection was taken for the answer.

A malformed head ends the connection at once; the request may have run, and is retried or failed like one whose answer broke off. The product's own exchange skips informational responses as forwarding does.

--- a/dial/connection.go
+++ b/dial/connection.go
@@ -56,6 +56,14 @@
 	return c
 }
 
+// beginHead expects the head of a response, of which the reader may have buffered bytes
+// after a response that is skipped.
+func (c *connection) beginHead() error {
+	c.source.beginHead()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return c.source.checker.Feed(buffered)
+}
+
 // isExpired reports whether a connection of forwarded requests has been idle past
 // its expiry or for longer than maxIdle. Other connections never expire.
 func (c *connection) isExpired(now time.Time, maxIdle time.Duration) bool {
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -91,7 +91,9 @@
 // send writes the composed request. On an error, the verdict is NotRun only if
 // no byte was written.
 func (s *scratch) send(c *connection) (fault.Verdict, error) {
-	c.source.beginHead()
+	if err := c.beginHead(); err != nil {
+		return fault.NotRun{}, err
+	}
 	n, err := c.conn.Write(s.request.Bytes())
 	if err != nil && n == 0 {
 		return fault.NotRun{}, err
@@ -102,10 +104,7 @@
 // receive reads a whole response. A body shorter than its announced length is an
 // error; the reply then holds the status and the header.
 func (s *scratch) receive(c *connection, request *http.Request) (reply, error) {
-	response, err := http.ReadResponse(c.reader, request)
-	if err == nil && isMerged(response) {
-		err = errMerged
-	}
+	response, err := c.readFinal(request)
 	if err != nil {
 		return reply{}, err
 	}
--- a/dial/forward.go
+++ b/dial/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hyssophub/fault"
+	"hyssophub/heads"
 )
 
 // ForwardRequest is a request that is sent as it is, without encoding.
@@ -20,8 +21,10 @@
 	// the server; zero sets no limit.
 	ConnLimit int
 	Method    string
-	// Payload is the whole request, with its head.
+	// Payload is the request with its head, but without Body, which follows. A large body
+	// is sent as it is: exchanges with several servers share it.
 	Payload  []byte
+	Body     []byte
 	Deadline time.Time
 	// Fresh excludes connections that have been idle for longer than
 	// freshMaxIdle.
@@ -122,7 +125,7 @@
 		p.drop(conn)
 		return Reply{}, fault.NotRun{}, err
 	}
-	written, verdict, err := conn.writeRequest(f.Payload)
+	written, verdict, err := conn.writeRequest(f.Payload, f.Body)
 	if err != nil {
 		p.drop(conn)
 		return Reply{}, verdict, err
@@ -134,7 +137,7 @@
 	}
 	if err != nil {
 		p.drop(conn)
-		if reused && reply.Status == 0 && ctx.Err() == nil && !isTimeout(err) && !errors.Is(err, ErrForeign) {
+		if reused && reply.Status == 0 && ctx.Err() == nil && !isTimeout(err) && !errors.Is(err, ErrForeign) && !errors.Is(err, heads.ErrMalformed) {
 			err = errors.Join(ErrStale, err)
 		}
 		return reply, fault.MayHaveRun{}, err
@@ -159,17 +162,22 @@
 
 // writeRequest writes a request. The channel receives the result when the request
 // is written, which may be after the response if the request is large.
-func (c *connection) writeRequest(payload []byte) (<-chan error, fault.Verdict, error) {
-	c.source.beginHead()
+func (c *connection) writeRequest(payload, body []byte) (<-chan error, fault.Verdict, error) {
+	if err := c.beginHead(); err != nil {
+		return nil, fault.NotRun{}, err
+	}
 	written := make(chan error, 1)
-	if len(payload) > maxInlineWrite {
+	if len(payload)+len(body) > maxInlineWrite {
 		go func() {
 			_, err := c.conn.Write(payload)
+			if err == nil && len(body) > 0 {
+				_, err = c.conn.Write(body)
+			}
 			written <- err
 		}()
 		return written, fault.MayHaveRun{}, nil
 	}
-	n, err := c.conn.Write(payload)
+	n, err := c.conn.Write(append(payload, body...))
 	if err != nil && n == 0 {
 		return nil, fault.NotRun{}, err
 	}
@@ -209,7 +217,9 @@
 		if foreign == maxForeign {
 			return Reply{}, false, ErrForeign
 		}
-		c.source.beginHead()
+		if err := c.beginHead(); err != nil {
+			return Reply{}, false, errors.Join(ErrForeign, err)
+		}
 	}
 }
 
@@ -230,23 +240,14 @@
 	return reply, reusable, err
 }
 
-// parseResponse reads a response. Informational (1xx) responses are skipped. A response
+// parseResponse reads a response. A response
 // without a length ends when the server closes the connection with a FIN.
 func (c *connection) parseResponse(method string) (Reply, bool, error) {
 	request := getRequest
 	if method != http.MethodGet {
 		request = &http.Request{Method: method}
 	}
-	response, err := http.ReadResponse(c.reader, request)
-	for n := 0; err == nil && response.StatusCode < http.StatusOK; n++ {
-		if n == maxInformational {
-			return Reply{}, false, errHeadTooLarge
-		}
-		response, err = http.ReadResponse(c.reader, request)
-	}
-	if err == nil && isMerged(response) {
-		err = errMerged
-	}
+	response, err := c.readFinal(request)
 	if err != nil {
 		return Reply{}, false, err
 	}
@@ -265,6 +266,22 @@
 	return reply, reusable, err
 }
 
+// readFinal reads the head of the final response. Informational (1xx) responses before it
+// are skipped. A head that is none in the protocol is an error.
+func (c *connection) readFinal(request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(c.reader, request)
+	for n := 0; err == nil && response.StatusCode < http.StatusOK; n++ {
+		if n == maxInformational {
+			return nil, errHeadTooLarge
+		}
+		response, err = http.ReadResponse(c.reader, request)
+	}
+	if err == nil && isMerged(response) {
+		err = errMerged
+	}
+	return response, err
+}
+
 // errMerged means that the beginning of one response was followed by another response,
 // whose status line became the end of a line of the first head.
 var errMerged = errors.New("dial: head of a response merged with that of another one")
--- a/dial/limit.go
+++ b/dial/limit.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"hyssophub/heads"
 )
 
 // Bounds of a response, in bytes and in number. A server in trouble may send bytes
@@ -44,9 +46,9 @@
 )
 
 // IsTruncated reports whether an exchange ended because the response was not whole
-// or belonged to another request.
+// was none, or belonged to another request.
 func IsTruncated(err error) bool {
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrForeign) || errors.Is(err, errMerged)
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrForeign) || errors.Is(err, errMerged) || errors.Is(err, heads.ErrMalformed)
 }
 
 // IsOversized reports whether an exchange ended because the server sent more than a
@@ -64,12 +66,14 @@
 	inHead   bool
 	headRead int
 	heads    charge
+	checker  heads.Checker
 }
 
 // beginHead permits to read a head.
 func (s *source) beginHead() {
 	s.left, s.err = maxHead, errHeadTooLarge
 	s.inHead, s.headRead = true, 0
+	s.checker.Begin()
 }
 
 // beginBody permits to read a body, after a head of which the reader has buffered bytes
@@ -94,6 +98,10 @@
 	if !s.inHead {
 		return n, err
 	}
+	if malformed := s.checker.Feed(p[:n]); malformed != nil {
+		s.left, s.err = 0, malformed
+		return 0, malformed
+	}
 	s.headRead += n
 	if s.heads.set(headWeight * int64(max(0, s.headRead-freeHead))) {
 		return n, err
@@ -134,6 +142,22 @@
 	return &totals{heads: total{limit: defaultHeads}, bodies: total{limit: defaultBodies}}
 }
 
+// Parts of a host's memory for the responses that are being read.
+const (
+	headsShare  = 0.08
+	bodiesShare = 0.12
+)
+
+// SetMemory lowers the bounds of responses to what a host with the given memory in bytes
+// can hold; zero changes nothing. It is called before the first exchange.
+func (c *Client) SetMemory(memory int64) {
+	if memory <= 0 {
+		return
+	}
+	c.limits.heads.limit = min(defaultHeads, int64(headsShare*float64(memory)))
+	c.limits.bodies.limit = min(defaultBodies, int64(bodiesShare*float64(memory)))
+}
+
 // bodyReader counts the bytes of one body beyond freeBody against a total until release.
 type bodyReader struct {
 	body  io.Reader
--- a/kvhttp/client.go
+++ b/kvhttp/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/samber/oops"
 
+	"hyssophub/heads"
 	"hyssophub/store"
 )
 
@@ -49,7 +50,7 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base:      "http://" + address,
-		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		http:      &http.Client{Transport: heads.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes})},
 		watchWait: DefaultWatchWait,
 	}
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 
 	"hyssophub/event"
 	"hyssophub/fault"
+	"hyssophub/heads"
 	"hyssophub/owner"
 	"hyssophub/peer/peerpb"
 	"hyssophub/shard"
@@ -45,13 +46,13 @@
 func NewClient(resolve func(host string) (string, bool)) *Client {
 	c := &Client{resolve: resolve, stubs: make(map[stubKey]peerpb.Peer)}
 	for i := range c.httpClients {
-		c.httpClients[i] = &http.Client{Transport: limitedTransport{&http.Transport{
+		c.httpClients[i] = &http.Client{Transport: limitedTransport{heads.NewTransport(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}}}
+		})}}
 	}
 	return c
 }
--- a/peer/limit.go
+++ b/peer/limit.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"hyssophub/heads"
 )
 
 // Bounds of the messages between hosts, in bytes. A whole state of the store, the
@@ -24,7 +26,7 @@
 
 // limitedTransport bounds the bodies of responses, because the twirp client reads
 // them whole.
-type limitedTransport struct{ *http.Transport }
+type limitedTransport struct{ heads.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -13,6 +13,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/feed"
+	"hyssophub/heads"
 	"hyssophub/peer/peerpb"
 	"hyssophub/relay"
 )
@@ -109,13 +110,13 @@
 // NewRelayClient returns a client with its own connections.
 func NewRelayClient() *RelayClient {
 	return &RelayClient{
-		http: &http.Client{Transport: limitedTransport{&http.Transport{
+		http: &http.Client{Transport: limitedTransport{heads.NewTransport(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
 			MaxIdleConnsPerHost:    relayMaxIdleConns,
 			IdleConnTimeout:        relayIdleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}}},
+		})}},
 		stubs:      make(map[string]peerpb.Tier),
 		unanswered: make(map[string]int),
 	}
