Bound what a host takes in from clients and other hosts

Clients that we do not control ended a process: each body was read whole with no bound over all of them, and heads, answers, connections and the messages of other hosts had none either.

Package intake is one account of a host's memory for messages in progress, with bounds on the connections of each listener and a least progress. Memory is reserved before it is read: the whole length of a body, or step by step for chunks and heads. A full account ends messages that stall, those that have sent least for the time that they stand first, then those of addresses with more than their share; a request that finds no room is refused with 503 before it runs. Package limits applies this to HTTP servers, daemon to connections and heads.

--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"hyssophub/intake"
 )
 
 const (
@@ -25,21 +27,30 @@
 	draining atomic.Bool
 	// drainUntil is set before draining.
 	drainUntil time.Time
+	// door and table bound the connections and heads; nil sets no bound.
+	door  *intake.Door
+	table *intake.Table
 }
 
 // Accept implements net.Listener.
 func (a *acceptor) Accept() (net.Conn, error) {
-	if a.draining.Load() {
-		_ = a.SetDeadline(earlier(time.Now().Add(drainPause), a.drainUntil))
-	}
-	conn, err := a.AcceptTCP()
-	if err != nil {
-		if a.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-			err = net.ErrClosed
+	for {
+		if a.draining.Load() {
+			_ = a.SetDeadline(earlier(time.Now().Add(drainPause), a.drainUntil))
 		}
-		return nil, err
+		conn, err := a.AcceptTCP()
+		if err != nil {
+			if a.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+				err = net.ErrClosed
+			}
+			return nil, err
+		}
+		c := &trackedConn{TCPConn: conn}
+		if a.enter(c) {
+			return c, nil
+		}
+		_ = conn.Close()
 	}
-	return &trackedConn{TCPConn: conn}, nil
 }
 
 // drain makes Accept fail as soon as the kernel's queue is empty.
@@ -67,16 +78,23 @@
 	ending atomic.Bool
 	// begun is set from the first byte of a request until the connection is idle.
 	begun atomic.Bool
+	// taken is what the connection holds of the bounds of its listener.
+	taken taken
 }
 
 // Read implements net.Conn. The deadline that ends an idle connection has no effect
 // once bytes of a request have arrived.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	p, err := c.beforeRead(p)
+	if err != nil {
+		return 0, err
+	}
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
 			c.begun.Store(true)
 		}
+		c.afterRead(n)
 		ended := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.ending.Load()
 		if !ended || (!c.begun.Load() && !c.hasBytes()) {
 			return n, err
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// connTable holds the open connections of an HTTP server. No other lock is acquired
-// while its lock is held.
+// connTable holds the open connections of an HTTP server. While its lock is held, only
+// those of a connection's bounds and of package intake are acquired.
 type connTable struct {
 	mu    sync.Mutex
 	conns map[*trackedConn]http.ConnState
@@ -33,6 +33,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.taken.record(state)
 	switch state {
 	case http.StateNew, http.StateIdle:
 		t.conns[c] = state
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,6 +79,7 @@
 	if d.adminListener, err = listen(d.settings.AdminAddr); err != nil {
 		return err
 	}
+	d.limitListeners()
 	if d.heartbeats, err = peer.ListenHeartbeats(d.settings.HeartbeatAddr, d.settings.Zone); err != nil {
 		return err
 	}
--- /dev/null
+++ b/daemon/intake.go
@@ -0,0 +1,212 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"hyssophub/intake"
+	"hyssophub/limits"
+)
+
+// Bounds of the messages that other hosts and administrators send, in bytes. A message of
+// another host holds the body of a client's request.
+const (
+	maxPeerBytes  = 8 << 20
+	maxAdminBytes = 4 << 20
+	// maxStatusHead bounds the heads of requests for readiness and metrics.
+	maxStatusHead = 16 << 10
+	// peerWeight counts a message of another host twice: as bytes and decoded.
+	peerWeight = 2
+	// freeHead is the part of a head, in bytes, that is not counted: it fits into the
+	// buffer of its connection. Each further byte counts headWeight times, because
+	// short fields take many times their bytes once they are parsed.
+	freeHead   = 4 << 10
+	headWeight = 16
+)
+
+// limit makes the connections, heads, bodies and answers of a listener keep to the bounds
+// of a host. It is called before serve.
+func (l *listener) limit(table *intake.Table, connections int, limiter limits.Limiter) {
+	limiter.Table = table
+	l.limiter = &limiter
+	l.tcp.door = table.NewDoor(connections)
+	l.tcp.table = table
+}
+
+// errNoRoom ends the reading of a head for which there is no memory.
+var errNoRoom = errors.New("no memory for the head of a request")
+
+// taken is what a connection holds of the bounds of its listener. The zero value holds
+// nothing and counts nothing.
+type taken struct {
+	table *intake.Table
+	door  *intake.Door
+	conn  *intake.Conn
+
+	mu sync.Mutex
+	// inHead is set while the next bytes belong to a head.
+	inHead   bool
+	headRead int
+	head     *intake.Entry
+}
+
+// enter enters an accepted connection in the bounds of the listener. It returns false if the
+// connection must be closed.
+func (a *acceptor) enter(c *trackedConn) bool {
+	if a.door == nil {
+		return true
+	}
+	c.taken.table, c.taken.door, c.taken.inHead = a.table, a.door, true
+	conn, decision := a.door.Open(addressOf(c), c, time.Now())
+	granted, ok := decision.(intake.Granted)
+	c.taken.conn = conn
+	for _, holder := range granted.Evicted {
+		holder.Evict()
+	}
+	return ok
+}
+
+func addressOf(c *trackedConn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return c.RemoteAddr().String()
+	}
+	return host
+}
+
+// Evict implements intake.Holder. An idle connection ends unless bytes of a request have
+// arrived; one on which a head is being read is closed.
+func (c *trackedConn) Evict() {
+	if c.begun.Load() {
+		_ = c.Close()
+		return
+	}
+	c.end(time.Now())
+}
+
+// beforeRead reserves memory for the next bytes of a head. It returns their bound.
+func (c *trackedConn) beforeRead(p []byte) ([]byte, error) {
+	t := &c.taken
+	if t.door == nil {
+		return p, nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.inHead || len(p) == 0 {
+		return p, nil
+	}
+	if t.headRead < freeHead {
+		return p[:min(len(p), freeHead-t.headRead)], nil
+	}
+	now := time.Now()
+	if t.head == nil {
+		t.head = t.table.Begin(intake.Head{}, addressOf(c), c, now)
+	}
+	p = p[:min(len(p), freeHead)]
+	switch d := t.table.Reserve(t.head, headWeight*int64(len(p)), now).(type) {
+	case intake.Granted:
+		for _, holder := range d.Evicted {
+			holder.Evict()
+		}
+		return p, nil
+	default:
+		return nil, errNoRoom
+	}
+}
+
+// afterRead records the bytes that have arrived.
+func (c *trackedConn) afterRead(n int) {
+	t := &c.taken
+	if t.door == nil || n <= 0 {
+		return
+	}
+	t.door.Receive(t.conn, n)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.inHead {
+		return
+	}
+	t.headRead += n
+	if t.head != nil {
+		t.table.Progress(t.head, int64(n), time.Now())
+	}
+}
+
+// record follows the states of a connection.
+func (t *taken) record(state http.ConnState) {
+	if t.door == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateNew:
+	case http.StateActive:
+		t.inHead = false
+		t.door.Occupy(t.conn)
+		if t.head != nil {
+			t.table.Hold(t.head)
+		}
+	case http.StateIdle:
+		t.inHead, t.headRead = true, 0
+		t.door.Free(t.conn, time.Now())
+		t.endHead()
+	case http.StateClosed, http.StateHijacked:
+		t.endHead()
+	}
+}
+
+func (t *taken) endHead() {
+	if t.head != nil {
+		t.table.End(t.head)
+		t.head = nil
+	}
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	err := c.TCPConn.Close()
+	if c.taken.door != nil && c.taken.conn != nil {
+		c.taken.door.Close(c.taken.conn)
+	}
+	return err
+}
+
+// descriptorLimit returns the number of descriptors that the process may have open, which
+// the settings name or else the system; zero if neither does.
+func descriptorLimit(configured int) int {
+	if configured > 0 {
+		return configured
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	return int(min(limit.Cur, 1<<20))
+}
+
+// limitListeners bounds what the listeners of the host take in.
+func (r *Relay) limitListeners() {
+	memory := int64(r.settings.MemoryMB) << 20
+	r.intake = intake.NewTable(intake.LimitsFor(memory))
+	doors := intake.DoorsFor(memory, descriptorLimit(r.settings.Descriptors))
+	r.clientListener.limit(r.intake, doors.Clients, limits.Limiter{Weight: 1})
+	r.peerListener.limit(r.intake, doors.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
+	for _, l := range []*listener{r.readyListener, r.metricsListener} {
+		l.limit(r.intake, doors.Status, limits.Limiter{Largest: maxStatusHead, Weight: 1})
+		l.server.MaxHeaderBytes = maxStatusHead
+	}
+}
+
+// limitListeners bounds what the listeners of the host take in.
+func (d *Daemon) limitListeners() {
+	table := intake.NewTable(intake.LimitsFor(memoryLimit))
+	doors := intake.DoorsFor(memoryLimit, descriptorLimit(0))
+	d.callerListener.limit(table, doors.Clients, limits.Limiter{Weight: 1})
+	d.peerListener.limit(table, doors.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
+	d.adminListener.limit(table, doors.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1})
+}
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"hyssophub/limits"
 )
 
 // listener is an HTTP server on one address. It opens its socket before it serves,
@@ -20,6 +22,8 @@
 	conns   connTable
 	// leaving makes all answers ask the client to close its connection.
 	leaving atomic.Bool
+	// limiter bounds requests and answers; nil sets no bound.
+	limiter *limits.Limiter
 }
 
 const (
@@ -45,6 +49,9 @@
 }
 
 func (l *listener) serve(handler http.Handler) {
+	if l.limiter != nil {
+		handler = l.limiter.Handler(handler)
+	}
 	l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.leaving.Load() {
 			w.Header().Set("Connection", "close")
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -19,6 +19,7 @@
 	"hyssophub/fleet"
 	"hyssophub/flow"
 	"hyssophub/gossip"
+	"hyssophub/intake"
 	"hyssophub/logs"
 	"hyssophub/peer"
 	"hyssophub/platform"
@@ -85,6 +86,7 @@
 	readyListener   *listener
 	metricsListener *listener
 	peerListener    *listener
+	intake          *intake.Table
 
 	started time.Time
 	// speedBlock is the input and speedSum the last result of measureSpeed.
@@ -143,6 +145,7 @@
 			return err
 		}
 	}
+	r.limitListeners()
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
@@ -154,6 +157,7 @@
 	}
 	r.relayTable = relay.NewTable(r.rules, r.fleet, r.hosts, relay.BudgetLimits(r.settings.Budget), assumedHosts)
 	r.backends = dial.NewClient()
+	r.backends.SetMemory(int64(r.settings.MemoryMB) << 20)
 	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
 		Host:       r.settings.Name,
 		Workers:    relayWorkers,
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -144,6 +144,7 @@
 		Leaving:     bounded.Leaving,
 		Dropped:     r.droppedLines(),
 		Panics:      r.panics.Load(),
+		Intake:      r.intake.Counts(),
 	}
 }
 
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,165 @@
+// Package intake decides how much a host takes in from its clients and from other hosts:
+// one account of the memory of all messages in progress, a bound on the connections of each
+// listener, and the least progress that a message must make. The caller reads the sockets
+// and carries the decisions out.
+package intake
+
+import "time"
+
+// Kind is what an entry of the account holds memory for. The interface is sealed.
+type Kind interface{ kind() }
+
+type (
+	// Head is the head of a request that is being read.
+	Head struct{}
+	// Body is the body of a request that is being read.
+	Body struct{}
+	// Held is a whole request, or a part of one, that is being served. It is never
+	// evicted, because it may have run.
+	Held struct{}
+	// Answer is an answer that is being written.
+	Answer struct{}
+)
+
+func (Head) kind()   {}
+func (Body) kind()   {}
+func (Held) kind()   {}
+func (Answer) kind() {}
+
+// Holder is the adapter of an entry or a connection.
+type Holder interface {
+	// Evict ends the reading or writing of a message, or closes a connection. It does
+	// not wait and calls no method of Table.
+	Evict()
+}
+
+// Entry is a message in progress. Its fields are read and changed by Table only.
+type Entry struct {
+	Kind   Kind
+	Holder Holder
+	// Address is the IP address of the sender.
+	Address string
+	// Bytes is the memory that the entry has reserved.
+	Bytes int64
+	// Moved is the number of bytes that were read or written.
+	Moved int64
+	// Began is the time of the start, Progressed that of the last byte.
+	Began      time.Time
+	Progressed time.Time
+	// WindowBegan and WindowMoved are the start of the present window of progress, and
+	// the bytes in it.
+	WindowBegan time.Time
+	WindowMoved int64
+	// Ended is set once the table has evicted the entry.
+	Ended bool
+}
+
+// Conn is an open connection. Its fields are read and changed by Table only.
+type Conn struct {
+	Holder  Holder
+	Address string
+	// Received is the number of bytes that have arrived, and Served that of requests
+	// that have been read whole.
+	Received int64
+	Served   int
+	// Busy is set from a request's last byte of its head to the end of its answer.
+	Busy bool
+	// Since is the time of the opening, or of the end of the last request.
+	Since time.Time
+}
+
+// Decision is the answer to a wish for memory or a connection. The interface is sealed.
+type Decision interface{ decision() }
+
+type (
+	// Granted grants it. The caller calls Evict of the holders, with no lock held.
+	Granted struct{ Evicted []Holder }
+	// Refused refuses it. The sender may come back after RetryAfter.
+	Refused struct{ RetryAfter time.Duration }
+)
+
+func (Granted) decision() {}
+func (Refused) decision() {}
+
+// Limits are the bounds of a host. Zero values of Memory set no bound on memory.
+type Limits struct {
+	// Memory bounds the memory of all entries, in bytes.
+	Memory int64
+	// Stall is the time without a byte after which a message may be evicted, if the
+	// account is full, and the age from which a connection may be.
+	Stall time.Duration
+	// Window and Least are the least progress: Least bytes in each Window, or the end of
+	// the message.
+	Window time.Duration
+	Least  int64
+}
+
+// Counts are figures for the metrics.
+type Counts struct {
+	// Memory is the memory that all entries have reserved, Bound its bound, in bytes.
+	Memory int64
+	Bound  int64
+	// Connections is the number of open connections.
+	Connections int
+	// Refused counts wishes for memory that were refused, Evicted messages that were ended
+	// for others, and Slow those that were ended for lack of progress.
+	Refused uint64
+	Evicted uint64
+	Slow    uint64
+	// Rejected counts connections that were closed at once, and Closed those that were
+	// closed for others.
+	Rejected uint64
+	Closed   uint64
+}
+
+// Parts of a host's memory and descriptors. The rest of the memory is for the program,
+// garbage that is not yet collected, and the buffers of the kernel; the rest of the
+// descriptors is for connections to servers, the store and other hosts.
+const (
+	memoryShare = 0.3
+	// clientShare, peerShare and statusShare are shares of the descriptors for the
+	// connections of clients, of other hosts, and of each of the listeners for readiness
+	// and metrics.
+	clientShare = 0.6
+	peerShare   = 0.12
+	statusShare = 0.03
+	// connectionBytes is the memory of a connection without a request, and
+	// connectionShare the part of the memory for all of them.
+	connectionBytes = 16 << 10
+	connectionShare = 0.25
+	// leastConnections is the least bound of a listener.
+	leastConnections = 8
+)
+
+// Defaults of the progress. The pages give clients no time limit for bodies; a request
+// that needs longer for so few bytes has no time left for an answer.
+const (
+	DefaultStall  = 500 * time.Millisecond
+	DefaultWindow = 10 * time.Second
+	DefaultLeast  = 4 << 10
+)
+
+// LimitsFor returns the limits of a host with the given memory in bytes; zero sets no
+// bound on memory.
+func LimitsFor(memory int64) Limits {
+	return Limits{Memory: int64(memoryShare * float64(memory)), Stall: DefaultStall, Window: DefaultWindow, Least: DefaultLeast}
+}
+
+// Doors are the bounds on the connections of the listeners; zero sets none.
+type Doors struct{ Clients, Peers, Status int }
+
+// DoorsFor returns the bounds of a host with the given memory in bytes and number of
+// descriptors; zero means that it is not known.
+func DoorsFor(memory int64, descriptors int) Doors {
+	if descriptors <= 0 && memory <= 0 {
+		return Doors{}
+	}
+	bound := func(share float64) int {
+		most := float64(descriptors) * share
+		if byMemory := connectionShare * float64(memory) / connectionBytes * share / clientShare; memory > 0 && (descriptors <= 0 || byMemory < most) {
+			most = byMemory
+		}
+		return max(leastConnections, int(most))
+	}
+	return Doors{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare)}
+}
--- /dev/null
+++ b/limits/answer.go
@@ -0,0 +1,77 @@
+package limits
+
+import (
+	"net/http"
+	"time"
+
+	"hyssophub/intake"
+)
+
+// answer is the answer to a request. It counts a large answer until the client has read
+// it, and ends one that the client reads too slowly.
+type answer struct {
+	http.ResponseWriter
+	controller *http.ResponseController
+	table      *intake.Table
+	address    string
+	// body is the request's body, or nil.
+	body    *body
+	limited bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	a.limitRest()
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (int, error) {
+	a.limitRest()
+	if len(p) <= freeAnswer {
+		_ = a.controller.SetWriteDeadline(time.Now().Add(answerTime))
+		return a.ResponseWriter.Write(p)
+	}
+	if a.body != nil {
+		// The request is not needed any more.
+		a.body.release()
+	}
+	entry := a.table.Begin(intake.Answer{}, a.address, a, time.Now())
+	defer a.table.End(entry)
+	if reserve(a.table, entry, int64(len(p)), time.Now()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	written := 0
+	for written < len(p) {
+		_ = a.controller.SetWriteDeadline(a.table.Deadline(entry))
+		if a.table.IsEnded(entry) {
+			panic(http.ErrAbortHandler)
+		}
+		n, err := a.ResponseWriter.Write(p[written:min(len(p), written+piece)])
+		written += n
+		if err != nil {
+			a.table.RecordSlow()
+			return written, err
+		}
+		a.table.Progress(entry, int64(n), time.Now())
+	}
+	return written, nil
+}
+
+// limitRest bounds the time for which the server waits for the rest of a body that the
+// handler has not read.
+func (a *answer) limitRest() {
+	if a.limited {
+		return
+	}
+	a.limited = true
+	if a.body != nil && a.body.err == nil {
+		_ = a.controller.SetReadDeadline(time.Now().Add(discardTime))
+	}
+}
+
+// Evict implements intake.Holder.
+func (a *answer) Evict() { _ = a.controller.SetWriteDeadline(time.Unix(1, 0)) }
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -39,9 +39,12 @@
 	Together bool
 	// MemoryMB is the memory limit of the process in MB; zero sets none.
 	MemoryMB int
-	Stop     RelayStop
-	Budget   RelayBudget
-	Accounts RelayAccounts
+	// Descriptors is the limit on open file descriptors of the process; with zero, that
+	// of the system holds.
+	Descriptors int
+	Stop        RelayStop
+	Budget      RelayBudget
+	Accounts    RelayAccounts
 }
 
 // RelayAccounts says how a host treats the keys of client accounts while it cannot follow
@@ -68,7 +71,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the boolean first, the numbers cores and memory and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the boolean first, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -85,6 +88,7 @@
 	Store  string   `json:"store"`
 	Seeds  []string `json:"seeds"`
 	Memory int      `json:"memory"`
+	Files  int      `json:"files"`
 	First  bool     `json:"first"`
 	Stop   struct {
 		Grace *float64 `json:"grace"`
@@ -149,9 +153,11 @@
 		Seeds:      decoded.Seeds,
 		Together:   decoded.First,
 		MemoryMB:   decoded.Memory,
-		Stop:       RelayStop{Grace: seconds(grace)},
-		Budget:     RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
-		Accounts:   RelayAccounts{Strict: decoded.Accounts.Strict, Bound: seconds(bound)},
+
+		Descriptors: decoded.Files,
+		Stop:        RelayStop{Grace: seconds(grace)},
+		Budget:      RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
+		Accounts:    RelayAccounts{Strict: decoded.Accounts.Strict, Bound: seconds(bound)},
 	}
 	errs := []error{checkName("name", decoded.Name), checkName("zone", decoded.Zone)}
 	for _, field := range []struct{ name, value string }{
@@ -165,6 +171,7 @@
 	errs = append(errs,
 		checkRange("cores", decoded.Cores, minCores, maxCores),
 		checkRange("memory", float64(decoded.Memory), 0, maxMemoryMB),
+		checkRange("files", float64(decoded.Files), 0, maxDescriptors),
 		checkRange("stop.grace", grace, minGraceSeconds, maxStopLimit.Seconds()),
 		checkRange("budget.ratio", decoded.Budget.Ratio, 0, 1),
 		checkRange("budget.burst", decoded.Budget.Burst, 0, maxBurst),
@@ -179,6 +186,7 @@
 	minCores         = 0.001
 	maxCores         = 1024
 	maxMemoryMB      = 1 << 20
+	maxDescriptors   = 1 << 20
 	minGraceSeconds  = 1
 	maxBurst         = 1e6
 	maxWindowSeconds = 3600
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -9,6 +9,8 @@
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"hyssophub/intake"
 )
 
 // Outcome is the result of a request on an operators' route, a label of the
@@ -78,6 +80,8 @@
 	Dropped uint64
 	// Panics is the number of panics that ended a request or a job.
 	Panics uint64
+	// Intake holds the figures of the account of messages and connections.
+	Intake intake.Counts
 }
 
 // RouteMetrics holds the instruments of an entry host that serves operators' routes.
@@ -133,6 +137,14 @@
 		{"hyssophub.tier.paused", "Backend servers that want no request from this host at present.", func(t TierState) int64 { return int64(t.Paused) }},
 		{"hyssophub.tier.leaving", "Backend servers that said that they are shutting down.", func(t TierState) int64 { return int64(t.Leaving) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
+		{"hyssophub.intake.memory", "Bytes reserved for messages in progress.", func(t TierState) int64 { return t.Intake.Memory }},
+		{"hyssophub.intake.bound", "Bound on the bytes reserved for messages in progress; 0 is none.", func(t TierState) int64 { return t.Intake.Bound }},
+		{"hyssophub.intake.connections", "Open connections of clients, other hosts and readers of readiness and metrics.", func(t TierState) int64 { return int64(t.Intake.Connections) }},
+		{"hyssophub.intake.refused", "Messages refused because the account of memory was full.", func(t TierState) int64 { return int64(t.Intake.Refused) }},
+		{"hyssophub.intake.evicted", "Messages ended so that others had room.", func(t TierState) int64 { return int64(t.Intake.Evicted) }},
+		{"hyssophub.intake.slow", "Messages ended because they made too little progress.", func(t TierState) int64 { return int64(t.Intake.Slow) }},
+		{"hyssophub.intake.rejected", "Connections closed at once because the bound was reached.", func(t TierState) int64 { return int64(t.Intake.Rejected) }},
+		{"hyssophub.intake.closed", "Connections closed so that others had room.", func(t TierState) int64 { return int64(t.Intake.Closed) }},
 		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
 	instruments := make([]metric.Observable, len(gauges))
