--- a/intake/door.go
+++ b/intake/door.go
@@ -29,7 +29,7 @@
 	defer d.table.mu.Unlock()
 	granted := Granted{}
 	if d.limit > 0 && len(d.conns) >= d.limit {
-		victim := d.choose(now)
+		victim := d.choose(address, now)
 		if victim == nil {
 			d.table.counts.Rejected++
 			return nil, Refused{}
@@ -38,15 +38,20 @@
 		d.remove(victim)
 		granted.Evicted = append(granted.Evicted, victim.Holder)
 	}
-	c := &Conn{Holder: holder, Address: address, Since: now}
+	d.table.begun++
+	c := &Conn{Order: d.table.begun, Holder: holder, Address: address, Since: now}
 	d.conns[c] = true
 	d.byAddress[address]++
 	return c, granted
 }
 
-// choose returns the connection that gives way, or nil.
-func (d *Door) choose(now time.Time) *Conn {
-	share := d.limit / max(1, len(d.byAddress))
+// choose returns the connection that gives way to one from an address, or nil.
+func (d *Door) choose(address string, now time.Time) *Conn {
+	addresses := len(d.byAddress)
+	if d.byAddress[address] == 0 {
+		addresses++
+	}
+	share := d.limit / addresses
 	var worst *Conn
 	for c := range d.conns {
 		if c.Busy || now.Sub(c.Since) < d.table.limits.Stall {
@@ -69,7 +74,10 @@
 	if a.Received != b.Received {
 		return a.Received < b.Received
 	}
-	return a.Since.Before(b.Since)
+	if !a.Since.Equal(b.Since) {
+		return a.Since.Before(b.Since)
+	}
+	return a.Order < b.Order
 }
 
 // Receive records bytes that have arrived.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -35,6 +35,8 @@
 
 // Entry is a message in progress. Its fields are read and changed by Table only.
 type Entry struct {
+	// Order is the number of the entry in the order of their starts.
+	Order  uint64
 	Kind   Kind
 	Holder Holder
 	// Address is the IP address of the sender.
@@ -56,6 +58,8 @@
 
 // Conn is an open connection. Its fields are read and changed by Table only.
 type Conn struct {
+	// Order is the number of the connection in the order of their openings.
+	Order   uint64
 	Holder  Holder
 	Address string
 	// Received is the number of bytes that have arrived, and Served that of requests
--- a/intake/table.go
+++ b/intake/table.go
@@ -16,6 +16,8 @@
 	byAddress map[string]int64
 	doors     map[*Door]bool
 	counts    Counts
+	// begun counts the entries and connections so far.
+	begun uint64
 }
 
 // NewTable returns an empty account.
@@ -45,13 +47,16 @@
 	e := &Entry{Kind: kind, Holder: holder, Address: address, Began: now, Progressed: now, WindowBegan: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.begun++
+	e.Order = t.begun
 	t.entries[e] = true
 	return e
 }
 
 // Reserve asks for more memory for a message. If the account is full, messages that have
 // made no progress for Limits.Stall give way, and those of addresses that hold more than
-// their share to one that holds less. A message that is refused is ended.
+// their share to one that holds less. A message that is refused is ended, unless it is
+// held.
 func (t *Table) Reserve(e *Entry, bytes int64, now time.Time) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -61,8 +66,10 @@
 	victims, ok := t.makeRoom(e, bytes, now)
 	if !ok {
 		t.counts.Refused++
-		t.remove(e)
-		e.Ended = true
+		if isEvictable(e) {
+			t.remove(e)
+			e.Ended = true
+		}
 		return Refused{RetryAfter: t.limits.Stall}
 	}
 	granted := Granted{}
@@ -86,7 +93,11 @@
 	if bytes > t.limits.Memory {
 		return nil, false
 	}
-	share := t.limits.Memory / int64(max(1, len(t.byAddress)))
+	addresses := int64(len(t.byAddress))
+	if _, ok := t.byAddress[asking.Address]; !ok {
+		addresses++
+	}
+	share := t.limits.Memory / addresses
 	modest := t.byAddress[asking.Address]+bytes <= share
 	var victims []*Entry
 	chosen := make(map[*Entry]bool)
@@ -132,7 +143,10 @@
 	if rateA != rateB {
 		return rateA < rateB
 	}
-	return stoodA > stoodB
+	if stoodA != stoodB {
+		return stoodA > stoodB
+	}
+	return a.Order < b.Order
 }
 
 // minStood is the least time, in seconds, by which the bytes of a message are divided.
