Refuse messages of other hosts and of the product's callers for lack of memory as not run

A collector that has no memory for a request answers that nothing ran, so that the asking host sends the parts itself; callers and administrators get a status that says so. The check of heads works line by line and the time limit of small answers is set once, which saves processor time.

--- a/admin/change.go
+++ b/admin/change.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"hyssophub/codec"
 	"hyssophub/config"
+	"hyssophub/limits"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
@@ -134,11 +134,19 @@
 // readManifest decodes the manifest in the body. If the body is malformed or too
 // large, it answers the request with an error and returns false.
 func readManifest(w http.ResponseWriter, r *http.Request) (config.Manifest, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := limits.ReadBody(w, r, maxBodyBytes)
 	if err != nil {
 		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		var (
+			tooLarge *http.MaxBytesError
+			refused  *limits.Refusal
+		)
+		switch {
+		case errors.As(err, &refused):
+			status = http.StatusServiceUnavailable
+		case errors.Is(err, limits.ErrSlow):
+			status = http.StatusRequestTimeout
+		case errors.As(err, &tooLarge):
 			status = http.StatusRequestEntityTooLarge
 		}
 		writeJSON(w, status, wireOutcome{Outcome: outcomeRefused, Error: err.Error()})
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -38,6 +38,8 @@
 	case http.StateNew, http.StateIdle:
 		t.conns[c] = state
 		c.begun.Store(false)
+		// The time limit of the last answer does not hold for the next one.
+		_ = c.SetWriteDeadline(time.Time{})
 		if !t.endAt.IsZero() {
 			c.end(t.endAt)
 		}
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -199,6 +199,7 @@
 	for _, l := range []*listener{r.readyListener, r.metricsListener} {
 		l.limit(r.intake, doors.Status, limits.Limiter{Largest: maxStatusHead, Weight: 1})
 		l.server.MaxHeaderBytes = maxStatusHead
+		l.server.IdleTimeout = clientIdleTimeout
 	}
 }
 
--- a/entry/decode.go
+++ b/entry/decode.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"hyssophub/config"
 	"hyssophub/fault"
+	"hyssophub/limits"
 	"hyssophub/shard"
 	"hyssophub/strict"
 )
@@ -21,12 +21,20 @@
 
 // readBody reads a request body. Its errors have the verdict NotRun.
 func readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	body, err := limits.ReadBody(nil, r, maxBodyBytes)
 	if err == nil {
 		return body, nil
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var (
+		tooLarge *http.MaxBytesError
+		refused  *limits.Refusal
+	)
+	switch {
+	case errors.As(err, &refused):
+		return nil, &fault.Error{Verdict: fault.NotRun{}, Reason: fault.ReasonOverload, RetryAfter: refused.RetryAfter, Err: err}
+	case errors.Is(err, limits.ErrSlow):
+		return nil, fault.New(fault.NotRun{}, fault.ReasonDeadline, "body: %w", err)
+	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.NotRun{}, fault.ReasonTooLarge, "body exceeds %d bytes", maxBodyBytes)
 	}
 	return nil, fault.New(fault.NotRun{}, fault.ReasonBadRequest, "body: %w", err)
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -40,45 +40,47 @@
 // Feed checks bytes in the order of their arrival. Bytes after the head of the final
 // response are ignored.
 func (c *Checker) Feed(p []byte) error {
-	for _, b := range p {
-		if c.done {
-			return nil
-		}
-		if c.invalid || !c.feed(b) {
+	for len(p) > 0 && !c.done {
+		part, rest, ended := bytes.Cut(p, []byte("\n"))
+		if c.invalid || !c.addPart(part) || (ended && !c.endLine()) {
 			c.invalid = true
 			return ErrMalformed
 		}
+		p = rest
 	}
 	return nil
 }
 
-func (c *Checker) feed(b byte) bool {
-	switch {
-	case b == '\n':
-		ok := c.endLine(c.line)
-		c.line, c.size, c.carriage = c.line[:0], 0, false
-		return ok
-	case c.carriage || b == 0:
-		return false
-	case b == '\r':
-		c.carriage = true
+// addPart adds a part of a line.
+func (c *Checker) addPart(part []byte) bool {
+	if len(part) == 0 {
 		return true
 	}
-	c.size++
-	if len(c.line) < maxKept {
-		c.line = append(c.line, b)
+	if c.carriage || bytes.IndexByte(part, 0) >= 0 {
+		return false
+	}
+	if at := bytes.IndexByte(part, '\r'); at >= 0 {
+		if at != len(part)-1 {
+			return false
+		}
+		c.carriage = true
+		part = part[:at]
 	}
+	c.size += len(part)
+	c.line = append(c.line, part[:min(len(part), maxKept-len(c.line))]...)
 	return true
 }
 
-func (c *Checker) endLine(line []byte) bool {
+func (c *Checker) endLine() bool {
+	line, size := c.line, c.size
+	c.line, c.size, c.carriage = c.line[:0], 0, false
 	switch {
 	case c.status == 0:
 		return c.readStatus(line)
 	case len(line) == 0:
 		return c.endHead()
 	default:
-		return c.readField(line)
+		return c.readField(line, size)
 	}
 }
 
@@ -117,7 +119,8 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
-func (c *Checker) readField(line []byte) bool {
+// readField reads a field, of whose line of the given size only a part may be kept.
+func (c *Checker) readField(line []byte, size int) bool {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	// A folded line begins with a space, which no name contains.
 	if !found || !isToken(name) {
@@ -126,7 +129,7 @@
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
 		value = bytes.Trim(value, " \t")
-		if c.length || len(value) == 0 || c.size > maxKept || bytes.IndexFunc(value, func(r rune) bool { return r < '0' || r > '9' }) >= 0 {
+		if c.length || len(value) == 0 || size > maxKept || bytes.IndexFunc(value, func(r rune) bool { return r < '0' || r > '9' }) >= 0 {
 			return false
 		}
 		c.length = true
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -124,8 +124,8 @@
 	// clientShare, peerShare and statusShare are shares of the descriptors for the
 	// connections of clients, of other hosts, and of each of the listeners for readiness
 	// and metrics.
-	clientShare = 0.6
-	peerShare   = 0.12
+	clientShare = 0.5
+	peerShare   = 0.2
 	statusShare = 0.03
 	// connectionBytes is the memory of a connection without a request, and
 	// connectionShare the part of the memory for all of them.
--- a/limits/answer.go
+++ b/limits/answer.go
@@ -17,6 +17,8 @@
 	// body is the request's body, or nil.
 	body    *body
 	limited bool
+	// writeUntil is the time limit of the last write.
+	writeUntil time.Time
 }
 
 // Unwrap is used by http.ResponseController.
@@ -32,7 +34,7 @@
 func (a *answer) Write(p []byte) (int, error) {
 	a.limitRest()
 	if len(p) <= freeAnswer {
-		_ = a.controller.SetWriteDeadline(time.Now().Add(answerTime))
+		a.limitWrite()
 		return a.ResponseWriter.Write(p)
 	}
 	if a.body != nil {
@@ -44,6 +46,7 @@
 	if reserve(a.table, entry, int64(len(p)), time.Now()) != nil {
 		panic(http.ErrAbortHandler)
 	}
+	a.writeUntil = time.Time{}
 	written := 0
 	for written < len(p) {
 		_ = a.controller.SetWriteDeadline(a.table.Deadline(entry))
@@ -68,10 +71,22 @@
 		return
 	}
 	a.limited = true
+	a.limitWrite()
 	if a.body != nil && a.body.err == nil {
 		_ = a.controller.SetReadDeadline(time.Now().Add(discardTime))
 	}
 }
 
+// limitWrite sets the time limit of writes that fit into the buffers of the connection. It
+// changes a limit only after half of its time, because a change costs more than the writes.
+func (a *answer) limitWrite() {
+	now := time.Now()
+	if a.writeUntil.Sub(now) > answerTime/2 {
+		return
+	}
+	a.writeUntil = now.Add(answerTime)
+	_ = a.controller.SetWriteDeadline(a.writeUntil)
+}
+
 // Evict implements intake.Holder.
 func (a *answer) Evict() { _ = a.controller.SetWriteDeadline(time.Unix(1, 0)) }
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -62,7 +62,6 @@
 			address = r.RemoteAddr
 		}
 		a := &answer{ResponseWriter: w, controller: http.NewResponseController(w), table: l.Table, address: address}
-		_ = a.controller.SetWriteDeadline(time.Time{})
 		if r.Body != nil && r.Body != http.NoBody {
 			a.body = &body{readCloser: r.Body, limiter: l, controller: a.controller, address: address, length: r.ContentLength}
 			r.Body = a.body
@@ -70,7 +69,7 @@
 		}
 		next.ServeHTTP(a, r)
 		a.limitRest()
-		_ = a.controller.SetWriteDeadline(time.Now().Add(answerTime))
+		a.limitWrite()
 	})
 }
 
--- a/limits/read.go
+++ b/limits/read.go
@@ -6,6 +6,16 @@
 	"net/http"
 )
 
+// Reserve reserves the memory for the announced length of a request's body. Its error is
+// that of reading the body.
+func Reserve(r *http.Request) error {
+	if r.Body == nil || r.ContentLength <= 0 {
+		return nil
+	}
+	_, err := r.Body.Read(nil)
+	return err
+}
+
 // ReadBody reads the body of a request of at most limit bytes. A longer one is an
 // http.MaxBytesError. The memory for a body with a length is allocated once, after it has
 // been reserved.
@@ -20,7 +30,7 @@
 	if r.ContentLength < 0 {
 		return io.ReadAll(reader)
 	}
-	if _, err := r.Body.Read(nil); err != nil && !errors.Is(err, io.EOF) {
+	if err := Reserve(r); err != nil {
 		return nil, err
 	}
 	content := make([]byte, r.ContentLength)
--- a/peer/limit.go
+++ b/peer/limit.go
@@ -5,7 +5,11 @@
 	"io"
 	"net/http"
 
+	"github.com/twitchtv/twirp"
+
+	"hyssophub/fault"
 	"hyssophub/heads"
+	"hyssophub/limits"
 )
 
 // Bounds of the messages between hosts, in bytes. A whole state of the store, the
@@ -19,9 +23,19 @@
 // errResponseTooLarge is the error of reading a response beyond its bound.
 var errResponseTooLarge = errors.New("peer: response too large")
 
-// limitRequests bounds the bodies of the requests to a handler.
+// limitRequests bounds the bodies of the requests to a handler. A request for whose body
+// there is no memory is refused as not run.
 func limitRequests(handler http.Handler) http.Handler {
-	return http.MaxBytesHandler(handler, maxRequestBytes)
+	limited := http.MaxBytesHandler(handler, maxRequestBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var refused *limits.Refusal
+		if errors.As(limits.Reserve(r), &refused) {
+			w.Header().Set("Connection", "close")
+			_ = twirp.WriteError(w, encodeError(&fault.Error{Verdict: fault.NotRun{}, Reason: fault.ReasonOverload, Err: refused}))
+			return
+		}
+		limited.ServeHTTP(w, r)
+	})
 }
 
 // limitedTransport bounds the bodies of responses, because the twirp client reads
