--- a/daemon/server.go
+++ b/daemon/server.go
@@ -151,6 +151,7 @@
 		Trials:       rollouts.Trials,
 		Dropped:      r.droppedLines(),
 		Panics:       r.panics.Load(),
+		Intake:       r.intake.Counts(),
 	}
 }
 
