--- a/canary/judge.go
+++ b/canary/judge.go
@@ -6,12 +6,16 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 )
 
 const (
 	// slowBuckets is the number of buckets above the median of the old version from which
 	// on a time is slow: 2.8 times the median, or up to a bucket less.
 	slowBuckets = 3
+	// slowMargin is the time above that median below which no time is slow: the target
+	// version has few connections, and opens a new one for many of its requests.
+	slowMargin = 20 * time.Millisecond
 	// moveBuckets is the number of further buckets for times during the move: the load on
 	// the target version is then greater than that of the old version before, as far as
 	// users come at the same time.
@@ -240,7 +244,8 @@
 		below += h[median]
 		median++
 	}
-	return min(Buckets-1, median+slowBuckets), true
+	atMedian := time.Duration(float64(firstBucket) * math.Pow(bucketFactor, float64(median)+0.5))
+	return min(Buckets-1, max(median+slowBuckets, bucketOf(atMedian+slowMargin))), true
 }
 
 // maxLog bounds logarithms of ratios, so that sums of ratios stay finite.
