Follow roll-outs only where the settings ask for them

Cause: versions of a service were told apart in every deployment, and each load of the state cost a further call to the store. Without orders all versions of a service are alike, as before.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -128,7 +128,9 @@
 	r.syncer.Start(r.settings.Together)
 	r.jobs.Go(r.sendHeartbeats)
 	r.jobs.Go(r.askForPermits)
-	r.jobs.Go(r.followRollouts)
+	if r.settings.Rollouts {
+		r.jobs.Go(r.followRollouts)
+	}
 	r.jobs.Go(r.probeZones)
 	r.jobs.Go(r.closeStaleConnections)
 	r.log.Info().Str("zone", settings.Zone).Str("front", settings.ClientAddr).Msg("host started")
@@ -160,7 +162,9 @@
 	}
 	r.rollouts = canary.NewTable(r.settings.Name, r.settings.Zone, uint64(r.started.UnixMilli()), r.fleet)
 	r.relayTable = relay.NewTable(r.rules, r.fleet, r.hosts, relay.BudgetLimits(r.settings.Budget), assumedHosts)
-	r.relayTable.UseRollouts(r.rollouts)
+	if r.settings.Rollouts {
+		r.relayTable.UseRollouts(r.rollouts)
+	}
 	r.backends = dial.NewClient()
 	r.backends.SetMemory(int64(r.settings.MemoryMB) << 20)
 	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
@@ -172,7 +176,10 @@
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
 	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
-	r.syncer.UseRollouts(r.rollouts)
+	if r.settings.Rollouts {
+		r.store.FollowRollouts()
+		r.syncer.UseRollouts(r.rollouts)
+	}
 	r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats)
 	return err
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -39,7 +39,8 @@
 	// HealthyOnly excludes instances that seem down, stalled, overloaded or
 	// unreachable.
 	HealthyOnly bool
-	// Versions holds which software versions the requests to a service may go to.
+	// Versions holds which software versions the requests to a service may go to; nil
+	// where the deployment has no roll-outs, and all versions are alike.
 	Versions map[string]Versions
 	// Trial, if not empty, is the only version that the request may go to. The instance
 	// with the fewest trials is chosen, so that all of them are judged.
--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -55,6 +55,9 @@
 	if constraints.Trial != "" {
 		return s.Version == constraints.Trial
 	}
+	if constraints.Versions == nil {
+		return true
+	}
 	switch v := constraints.Versions[s.Service].(type) {
 	case OnlyVersion:
 		return s.Version == v.Version || t.countVersion(s.Service, v.Version) == 0
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -45,6 +45,9 @@
 	Stop        RelayStop
 	Budget      RelayBudget
 	Accounts    RelayAccounts
+	// Rollouts is set if the operators move services to other software versions by
+	// orders. Otherwise all versions of a service are alike.
+	Rollouts bool
 }
 
 // RelayAccounts says how a host treats the keys of client accounts while it cannot follow
@@ -71,7 +74,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the boolean first, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -98,6 +101,7 @@
 		Burst  float64  `json:"burst"`
 		Window *float64 `json:"window"`
 	} `json:"budget"`
+	Rollouts bool `json:"rollouts"`
 	Accounts struct {
 		Strict bool     `json:"strict"`
 		Bound  *float64 `json:"bound"`
@@ -157,6 +161,7 @@
 		Descriptors: decoded.Files,
 		Stop:        RelayStop{Grace: seconds(grace)},
 		Budget:      RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
+		Rollouts:    decoded.Rollouts,
 		Accounts:    RelayAccounts{Strict: decoded.Accounts.Strict, Bound: seconds(bound)},
 	}
 	errs := []error{checkName("name", decoded.Name), checkName("zone", decoded.Zone)}
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -51,7 +51,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": h.zone, "front": h.address(portClients), "ready": h.address(portReadiness),
 		"peer": h.address(portPeer), "stats": h.address(portMetrics), "beat": h.address(portHeartbeat),
-		"cores": 0.4, "store": store, "seeds": seeds, "memory": h.memory, "files": h.descriptors,
+		"cores": 0.4, "store": store, "seeds": seeds, "memory": h.memory, "files": h.descriptors, "rollouts": true,
 		"stop":   map[string]any{"grace": 6},
 		"budget": map[string]any{"ratio": 0.2, "burst": 58, "window": 10},
 	})
