--- a/heads/paths_test.go
+++ b/heads/paths_test.go
@@ -92,8 +92,8 @@
 // TestAnswersThatAreNone guards against bytes that are no answer in the protocol, or whose
 // end is in doubt, being taken for an answer; against a call that waits for its time limit
 // then; and against what follows them on the connection being taken for an answer. Each
-// script holds an answer and what each path makes of it: "answered" or "failed", and "late" if
-// the call waited.
+// script holds an answer and what each path makes of it: "answered" or "failed", "late" if
+// the call waited, and "hangs" if it did not end.
 func TestAnswersThatAreNone(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
@@ -134,9 +134,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	start := time.Now()
+	done := make(chan bool, 1)
+	go func() { done <- p.call(ctx, listener.Addr().String()) }()
 	result := "failed"
-	if p.call(ctx, listener.Addr().String()) {
-		result = "answered"
+	select {
+	case answered := <-done:
+		if answered {
+			result = "answered"
+		}
+	case <-time.After(callTime + promptTime):
+		return "hangs"
 	}
 	if time.Since(start) > promptTime {
 		result += " late"
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -258,7 +258,10 @@
 		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
+	reason, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s", reason)
+	}
 	return response.StatusCode, err
 }
 
