Follow a store that comes back from an older copy

A store that comes back from a copy gives revisions out again, so an order by revision alone mixes two histories: hosts skip new changes with old numbers and claim changes that they do not have. Positions are now an era and a revision. A host enters a later era only with a full state.

--- a/daemon/collect.go
+++ b/daemon/collect.go
@@ -7,6 +7,7 @@
 
 	"hyssophub/feed"
 	"hyssophub/relay"
+	"hyssophub/store"
 )
 
 // relayHandler answers calls from other hosts. It implements peer.RelayHandler.
@@ -41,6 +42,6 @@
 }
 
 // ChangesAfter implements peer.RelayHandler.
-func (h relayHandler) ChangesAfter(revision uint64) feed.Update {
-	return h.syncer.ChangesAfter(revision)
+func (h relayHandler) ChangesAfter(position store.Position) feed.Update {
+	return h.syncer.ChangesAfter(position)
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -12,6 +12,7 @@
 	"hyssophub/feed"
 	"hyssophub/gossip"
 	"hyssophub/peer"
+	"hyssophub/store"
 	"hyssophub/work"
 )
 
@@ -55,10 +56,10 @@
 }
 
 // CheckedAt implements feed.Peers.
-func (p *peers) CheckedAt(revision uint64) time.Time { return p.table.CheckedAt(revision) }
+func (p *peers) CheckedAt(position store.Position) time.Time { return p.table.CheckedAt(position) }
 
 // Changes implements feed.Peers.
-func (p *peers) Changes(ctx context.Context, address string, after uint64) (feed.Update, error) {
+func (p *peers) Changes(ctx context.Context, address string, after store.Position) (feed.Update, error) {
 	return p.client.Changes(ctx, address, after)
 }
 
@@ -66,17 +67,17 @@
 func (p *peers) Suspect(address string, now time.Time) { p.table.SuspectAddress(address, now) }
 
 // ReportApplied implements feed.Peers.
-func (p *peers) ReportApplied(revision, progress uint64, watching bool, storeContact time.Time) {
+func (p *peers) ReportApplied(position store.Position, idle uint64, watching bool, storeContact time.Time) {
 	p.table.UpdateSelf(func(record *gossip.Record) {
-		record.Revision, record.Progress, record.Watching = revision, progress, watching
+		record.Position, record.Idle, record.Watching = position, idle, watching
 		if !storeContact.IsZero() {
 			record.StoreContact = storeContact
 		}
 	})
 }
 
-// Progress implements feed.Peers.
-func (p *peers) Progress(revision uint64) uint64 { return p.table.Progress(revision) }
+// Idle implements feed.Peers.
+func (p *peers) Idle(position store.Position) uint64 { return p.table.Idle(position) }
 
 // Announce implements feed.Peers.
 func (p *peers) Announce() {
@@ -225,7 +226,7 @@
 	defer cancel()
 	// No change is newer than the highest possible revision, so the answer is
 	// small.
-	if _, err := r.peers.client.Changes(ctx, host.Address, math.MaxInt64); err != nil {
+	if _, err := r.peers.client.Changes(ctx, host.Address, store.Position{Era: feed.PresentEra, Revision: math.MaxInt64}); err != nil {
 		r.log.Debug().Err(err).Str("zone", zone).Str("peer", host.Name).Msg("availability zone still does not answer")
 		return
 	}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -112,7 +112,7 @@
 		line.Str("account", request.Account.Name)
 	}
 	return line.Str("request", request.Message.ID).Str("route", request.Route.Name).Uint64("version", request.View.Set.Version).
-		Int64("revision", int64(s.hosts.Self().Revision)).Int("sends", report.Sends).Int("hedges", report.Hedges).Int("detours", report.Detours).Int("helpers", report.Helpers).
+		Int64("revision", int64(s.hosts.Self().Position.Revision)).Int("sends", report.Sends).Int("hedges", report.Hedges).Int("detours", report.Detours).Int("helpers", report.Helpers).
 		Dur("deadline", request.Deadline.Sub(request.Arrived))
 }
 
@@ -134,10 +134,12 @@
 	}
 	return stats.TierState{
 		Version:      r.rulesVersion(),
-		Revision:     self.Revision,
+		Era:          self.Position.Era,
+		Revision:     self.Position.Revision,
 		Watching:     self.Watching,
 		Age:          age,
 		InDoubt:      followed.InDoubt,
+		Lost:         followed.Lost,
 		Malformed:    followed.Malformed,
 		Ready:        r.Ready(),
 		Hosts:        live,
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"hyssophub/rules"
+	"hyssophub/store"
 	"hyssophub/work"
 )
 
@@ -17,11 +18,32 @@
 	fromPeer
 )
 
-// apply applies an update to the history and to the tables.
-func (s *Syncer) apply(update Update, from origin, now time.Time) {
+// apply applies an update to the history and to the tables. Updates of an earlier era are
+// not applied, and changes of a later one only after its full state.
+func (s *Syncer) apply(update Update, from origin, now time.Time) error {
+	change, err := s.applyLocked(update, from, now)
+	if change.From != change.To {
+		s.log.Warn().Uint64("from", change.From).Uint64("to", change.To).Stringer("position", update.Position).Msg("era of the store has changed")
+		if s.onEra != nil {
+			s.onEra(change)
+		}
+	}
+	return err
+}
+
+func (s *Syncer) applyLocked(update Update, from origin, now time.Time) (EraChanged, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.history.revision
+	before := s.history.position
+	isFirst := before == store.Position{}
+	change := EraChanged{From: before.Era, To: before.Era}
+	if update.Position.Era < before.Era {
+		return change, errEarlierEra
+	}
+	isNewEra := update.Position.Era > before.Era
+	if isNewEra && !update.Full {
+		return change, ErrEraChanged
+	}
 	contact := time.Time{}
 	if from == fromStore {
 		contact = now
@@ -35,11 +57,78 @@
 		s.applyChanges(update, from, now)
 		s.caughtUp = true
 	}
-	s.progress = max(s.progress, update.Revision)
+	s.applyLost(update, now)
+	if isNewEra {
+		s.progress = update.Position.Revision
+		if !isFirst {
+			change.To = update.Position.Era
+		}
+	}
+	s.progress = max(s.progress, update.Position.Revision)
 	s.reportApplied(contact)
-	if s.history.revision > before && from == fromStore {
+	if s.history.position.IsAfter(before) && from == fromStore {
 		s.peers.Announce()
 	}
+	return change, nil
+}
+
+// applyLost takes over what another host of the same era knows of its beginning: when it
+// was, and which versions are in force that the store has lost.
+func (s *Syncer) applyLost(update Update, now time.Time) {
+	for _, item := range s.history.learn(update.Era) {
+		s.applyChange(item, now)
+	}
+	if !s.holdsLost(now) {
+		return
+	}
+	for _, item := range update.Lost {
+		if !s.history.holdFrom(item) {
+			continue
+		}
+		// The table may hold the registration that the store has, at a newer position.
+		if removed, ok := s.decode(Item{Key: item.Key, Deleted: true}).(ServerRemoved); ok {
+			s.fleet.Remove(removed.ID, s.history.lost[item.Key].Position)
+		}
+		s.applyChange(item, now)
+	}
+}
+
+// holdsLost reports whether versions that the store has lost stay in force.
+func (s *Syncer) holdsLost(now time.Time) bool {
+	since := s.history.era.Since
+	return since.IsZero() || now.Sub(since) < rewriteBound
+}
+
+// lostUntil returns the time until which a lost version stays in force. Servers whose
+// registrations are missing have the time that they have after an outage.
+func (s *Syncer) lostUntil(key string) time.Time {
+	since := s.history.era.Since
+	if _, isServer := s.decode(Item{Key: key, Deleted: true}).(ServerRemoved); !isServer || !s.history.lost[key].Deleted {
+		return since.Add(rewriteBound)
+	}
+	if s.recoveredAt.After(since) {
+		since = s.recoveredAt
+	}
+	return since.Add(renewalGrace)
+}
+
+// releaseLost ends the force of versions that were not written again in time. Nobody can
+// write them while the store does not answer, so none is released then.
+func (s *Syncer) releaseLost(now time.Time, isFailing bool) {
+	released, keys := 0, zerolog.Arr()
+	for key := range s.history.lost {
+		until := s.lostUntil(key)
+		if now.Before(until) || (isFailing && s.heardAt.Before(until)) {
+			continue
+		}
+		s.applyChange(s.history.release(key), now)
+		if released++; released <= maxLoggedKeys {
+			keys.Str(key)
+		}
+	}
+	if released > 0 {
+		s.log.Warn().Int("entries", released).Array("keys", keys).Stringer("position", s.history.position).Msg("entries lost by the store were not written again, its content is in force")
+	}
 }
 
 // recordContact records that the store answered. After a silence in which registrations
@@ -48,7 +137,7 @@
 func (s *Syncer) recordContact(update Update, now time.Time) {
 	if !s.failingSince.IsZero() {
 		silence := now.Sub(s.answeredAt)
-		line := s.log.Info().Dur("lost_for", now.Sub(s.failingSince)).Int("in_doubt", len(s.expiring)).Uint64("revision", update.Revision)
+		line := s.log.Info().Dur("lost_for", now.Sub(s.failingSince)).Int("in_doubt", len(s.expiring)).Stringer("position", update.Position)
 		if !s.answeredAt.IsZero() {
 			line.Dur("silence", silence)
 		}
@@ -68,7 +157,8 @@
 // reportApplied reports to peers what this host has applied. contact is the time of
 // the store's answer; zero if the store did not answer.
 func (s *Syncer) reportApplied(contact time.Time) {
-	s.peers.ReportApplied(s.history.revision, max(s.progress, s.history.revision), s.watching, contact)
+	position := s.history.position
+	s.peers.ReportApplied(position, max(s.progress, position.Revision)-position.Revision, s.watching, contact)
 }
 
 // applyChanges applies the changes of an update in order. Deletions from the store
@@ -84,21 +174,21 @@
 	}
 	mayReturn := from == fromStore && (removed >= massExpiryMin || (!s.recoveredAt.IsZero() && now.Sub(s.recoveredAt) < renewalGrace))
 	var applied []Item
-	newest := uint64(0)
+	var newest store.Position
 	for _, item := range update.Items {
 		item.MayReturn = item.Deleted && (item.MayReturn || mayReturn)
 		if s.history.add(item) {
 			s.applyChange(item, now)
 			applied = append(applied, item)
 		}
-		if item.Revision <= update.Revision {
-			newest = max(newest, item.Revision)
+		if !item.Position.IsAfter(update.Position) {
+			newest = store.Later(newest, item.Position)
 		}
 	}
 	if from == fromPeer {
-		newest = update.Revision
+		newest = update.Position
 	}
-	// The revision that other hosts learn is that of the newest change up to which this
+	// The position that other hosts learn is that of the newest change up to which this
 	// host knows all, whether the item was known before, from a page that was read after
 	// the change, or not.
 	s.history.complete(newest)
@@ -127,7 +217,7 @@
 		}
 	}
 	s.log.Info().Int("entries", len(items)).Int("gone", removed).Int("may_return", mayReturn).Array("keys", keys).
-		Uint64("revision", s.history.revision).Msg("entries changed in the store")
+		Stringer("position", s.history.position).Msg("entries changed in the store")
 }
 
 // applyChange applies one item to the tables. A registration that may return stays
@@ -142,20 +232,20 @@
 			if view := s.rules.View(); !c.Out && view != nil {
 				s.fleet.MarkZoneCold(view, c.Zone, now)
 			}
-			s.log.Info().Str("zone", c.Zone).Bool("out", c.Out).Uint64("revision", item.Revision).Msg("availability zone changed")
+			s.log.Info().Str("zone", c.Zone).Bool("out", c.Out).Stringer("position", item.Position).Msg("availability zone changed")
 		}
 	case ServerRegistered:
 		delete(s.expiring, c.Instance.ID)
 		s.fleet.Register(c.Instance, now)
 	case ServerRemoved:
 		if item.MayReturn {
-			s.expiring[c.ID] = expiry{revision: c.Revision, until: now.Add(renewalGrace)}
+			s.expiring[c.ID] = expiry{key: item.Key, position: c.Position, until: now.Add(renewalGrace)}
 			return
 		}
-		s.fleet.Remove(c.ID, c.Revision)
+		s.fleet.Remove(c.ID, c.Position)
 	case Malformed:
 		s.malformed++
-		s.fleet.Remove(c.ID, c.Revision)
+		s.fleet.Remove(c.ID, c.Position)
 		s.log.Warn().Str("key", c.Key).Err(c.Err).Msg("malformed store entry ignored")
 	default:
 		s.applyRollout(c, now)
@@ -174,9 +264,9 @@
 	if completed {
 		return change
 	}
-	malformed := Malformed{Key: item.Key, Revision: item.Revision, Err: errPanicked}
+	malformed := Malformed{Key: item.Key, Position: item.Position, Err: errPanicked}
 	work.Guard(s.onPanic, func() {
-		if removed, ok := s.source.Decode(Item{Key: item.Key, Revision: item.Revision, Deleted: true}).(ServerRemoved); ok {
+		if removed, ok := s.source.Decode(Item{Key: item.Key, Position: item.Position, Deleted: true}).(ServerRemoved); ok {
 			malformed.ID = removed.ID
 		}
 	})
@@ -195,18 +285,25 @@
 // it lacks may have expired during an outage, so they stay in use for
 // renewalGrace.
 func (s *Syncer) applyFull(update Update, now time.Time) {
-	removed := s.history.replace(update)
+	var removed []Item
+	if update.Position.Era > s.history.position.Era {
+		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < rewriteBound
+		removed = s.history.enter(update, now, holds)
+		s.restartGrace(now)
+	} else {
+		removed = s.history.replace(update)
+	}
 	for _, item := range update.Items {
-		// Items that the history holds in a newer revision are skipped. The tables
+		// Items that the history holds in a newer version are skipped. The tables
 		// ignore what they already hold.
-		if s.history.items[item.Key].Revision == item.Revision {
+		if s.history.items[item.Key].Position == item.Position {
 			s.applyChange(item, now)
 		}
 	}
 	for _, item := range removed {
 		s.applyChange(item, now)
 	}
-	s.log.Info().Uint64("revision", update.Revision).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
+	s.log.Info().Stringer("position", update.Position).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
 }
 
 // removeExpired removes the registrations that were not renewed within renewalGrace. No
@@ -219,13 +316,15 @@
 	if isFailing {
 		s.recordPeerContact(now)
 	}
+	s.releaseLost(now, isFailing)
 	removed, keys := 0, zerolog.Arr()
 	for id, e := range s.expiring {
 		if now.Before(e.until) || (isFailing && s.heardAt.Before(e.until)) {
 			continue
 		}
 		delete(s.expiring, id)
-		s.fleet.Remove(id, e.revision)
+		s.fleet.Remove(id, e.position)
+		s.history.settle(e.key, e.position)
 		if removed++; removed <= maxLoggedKeys {
 			keys.Str(id)
 		}
@@ -239,7 +338,7 @@
 // newer, while it does not answer this one. If it answered none of them for peerSilence,
 // registrations may have expired, and the grace periods start again.
 func (s *Syncer) recordPeerContact(now time.Time) {
-	checked := s.peers.CheckedAt(s.history.revision)
+	checked := s.peers.CheckedAt(s.history.position)
 	if !checked.After(s.heardAt) {
 		return
 	}
@@ -253,6 +352,6 @@
 // renewalGrace from now on.
 func (s *Syncer) restartGrace(now time.Time) {
 	for id, e := range s.expiring {
-		s.expiring[id] = expiry{revision: e.revision, until: now.Add(renewalGrace)}
+		s.expiring[id] = expiry{key: e.key, position: e.position, until: now.Add(renewalGrace)}
 	}
 }
--- a/feed/change.go
+++ b/feed/change.go
@@ -6,12 +6,15 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"hyssophub/fleet"
 	"hyssophub/rules"
+	"hyssophub/store"
 )
 
 // Change is a decoded change in the store. The interface is sealed.
@@ -31,14 +34,14 @@
 	// instance.
 	ServerRemoved struct {
 		ID       string
-		Revision uint64
+		Position store.Position
 	}
 	// Malformed is an entry that cannot be decoded. ID is that of the instance if
 	// the key is one of a registration, and empty otherwise.
 	Malformed struct {
 		Key      string
 		ID       string
-		Revision uint64
+		Position store.Position
 		Err      error
 	}
 )
@@ -53,19 +56,46 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Position store.Position
 	Deleted  bool
 	// MayReturn marks a deletion that may be an expiry during an outage of the
 	// store. The backend server may still run and register again.
 	MayReturn bool
 }
 
-// Update is the content of the store at a revision, or the changes up to it.
+// isEqual reports whether two versions of an item have the same content.
+func (i *Item) isEqual(other Item) bool {
+	return i.Deleted == other.Deleted && bytes.Equal(i.Value, other.Value)
+}
+
+// PresentEra stands for the present era of the host that is asked for changes.
+const PresentEra = math.MaxUint64
+
+// Era is what is known of the beginning of an era of the store.
+type Era struct {
+	// Start is the revision at which the era was first read. Every change above it was
+	// made in the era, every other one there or before. Zero means that it is not known.
+	Start uint64
+	// Since is when a host first read the era.
+	Since time.Time
+	// Before is the latest era before it that contributed to the state.
+	Before uint64
+}
+
+// EraChanged means that the store came back from an older copy, and that this host has
+// read its state.
+type EraChanged struct{ From, To uint64 }
+
+// Update is the content of the store at a position, or the changes up to it.
 type Update struct {
 	Items    []Item
-	Revision uint64
+	Position store.Position
 	// Full means that Items is the whole content of the store, not only changes.
 	Full bool
+	// Era is the beginning of the era, and Lost holds the versions that the store has
+	// lost with the era before and that are still in force. Only hosts set them.
+	Era  Era
+	Lost []Item
 	// CheckedAt is when the store was last known to hold nothing newer; zero if that
 	// is not known. Updates of the store itself do not set it.
 	CheckedAt time.Time
@@ -79,13 +109,21 @@
 // is too large, breaks off or has another format. The same call may fail again.
 var ErrUnreadable = errors.New("feed: answer of the store is unreadable")
 
-// Source reads the store. Every error other than ErrCompacted and ErrUnreadable means that
-// the store did not answer.
+// ErrEraChanged means that the store answered in a later era, so that the full state must
+// be loaded again.
+var ErrEraChanged = errors.New("feed: era of the store has changed")
+
+// errEarlierEra means that an answer of the store is of an era that has passed.
+var errEarlierEra = errors.New("feed: answer is of an earlier era of the store")
+
+// Source reads the store. Every error other than ErrCompacted, ErrUnreadable and
+// ErrEraChanged means that the store did not answer.
 type Source interface {
-	// Load returns the full state.
+	// Load returns the full state, of one era.
 	Load(ctx context.Context) (Update, error)
 	// Wait returns the changes after a revision as soon as there are any, or no
-	// items once the store has waited for them for the given time.
+	// items once the store has waited for them for the given time. The answer may be of
+	// another era than the revision.
 	Wait(ctx context.Context, after uint64, wait time.Duration) (Update, error)
 	// Decode converts an item. It returns nil for an item that is neither rules, a
 	// zone nor a registration.
@@ -105,21 +143,21 @@
 	// Neighbours returns the addresses of the live hosts of the own zone in random
 	// order, and whether the local host precedes all of them.
 	Neighbours(now time.Time) (addresses []string, isFirst bool)
-	// Changes asks a host for the changes after a revision.
-	Changes(ctx context.Context, address string, after uint64) (Update, error)
+	// Changes asks a host for the changes after a position.
+	Changes(ctx context.Context, address string, after store.Position) (Update, error)
 	// CheckedAt returns when the store was last known to hold nothing newer than the
-	// given revision; zero if that is not known.
-	CheckedAt(revision uint64) time.Time
+	// given position; zero if that is not known.
+	CheckedAt(position store.Position) time.Time
 	// Suspect records that a call to a host failed.
 	Suspect(address string, now time.Time)
-	// ReportApplied records for the heartbeats the revision of the newest change up to
-	// which this host knows all, the revision up to which it knows that there is no
-	// further one, and whether this host watches the store. contact is the time of the
-	// store's answer; zero if the store did not answer.
-	ReportApplied(revision, progress uint64, watching bool, contact time.Time)
-	// Progress returns the highest revision up to which any host whose newest change
-	// has the given revision has seen all changes. No change lies between the two.
-	Progress(revision uint64) uint64
-	// Announce sends the newest applied revision to the other hosts at once.
+	// ReportApplied records for the heartbeats the position of the newest change up to
+	// which this host knows all, the number of revisions after it that are known to bring
+	// no further change, and whether this host watches the store. contact is the time of
+	// the store's answer; zero if the store did not answer.
+	ReportApplied(position store.Position, idle uint64, watching bool, contact time.Time)
+	// Idle returns the greatest number of revisions after a position that are known to
+	// bring no further change to any host whose newest change is at the position.
+	Idle(position store.Position) uint64
+	// Announce sends the newest applied position to the other hosts at once.
 	Announce()
 }
--- a/feed/load.go
+++ b/feed/load.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"hyssophub/store"
 )
 
 const (
@@ -34,16 +36,56 @@
 	update, err := s.source.Load(ctx)
 	if err == nil {
 		update.Full = true
-		s.apply(update, fromStore, time.Now())
-		return nil
+		return s.applyLoaded(ctx, update)
 	}
 	newest, address := s.newestState(ctx, s.peers.Seeds(time.Now()))
 	if address == "" {
 		return err
 	}
-	s.log.Info().Err(err).Str("peer", address).Uint64("revision", newest.Revision).Msg("full state loaded from another host")
-	s.apply(newest, fromPeer, time.Now())
-	return nil
+	s.log.Info().Err(err).Str("peer", address).Stringer("position", newest.Position).Msg("full state loaded from another host")
+	return s.apply(newest, fromPeer, time.Now())
+}
+
+// applyLoaded applies the full state of the store. A starting host, and one that has missed
+// an era, learn from another host which versions stay in force that the store has lost.
+func (s *Syncer) applyLoaded(ctx context.Context, update Update) error {
+	s.mu.Lock()
+	position := s.history.position
+	s.mu.Unlock()
+	var known Update
+	if update.Position.Era > position.Era+1 || (position == store.Position{} && update.Position.Era > 0) {
+		known = s.knownToPeer(ctx, update.Position)
+	}
+	if known.Full && known.Position.Era < update.Position.Era && time.Since(known.CheckedAt) <= maxStateAge {
+		_ = s.apply(known, fromPeer, time.Now())
+	}
+	if known.Position.Era == update.Position.Era {
+		update.Era, update.Lost = known.Era, known.Lost
+	}
+	err := s.apply(update, fromStore, time.Now())
+	if err == nil && known.Position.Era >= update.Position.Era {
+		err = s.apply(known, fromPeer, time.Now())
+	}
+	return err
+}
+
+// maxKnownAsked bounds the hosts that are asked for what the store has lost.
+const maxKnownAsked = 2
+
+// knownToPeer returns the changes after a position that another host knows, with the
+// versions that the store has lost, or the full state of a host in an earlier era.
+func (s *Syncer) knownToPeer(ctx context.Context, position store.Position) Update {
+	addresses := s.peers.Seeds(time.Now())
+	for _, address := range addresses[:min(maxKnownAsked, len(addresses))] {
+		update, err := s.peerChanges(ctx, address, position)
+		if err == nil && update.Position.Revision > 0 && update.Position.Era < position.Era {
+			update, err = s.peerChanges(ctx, address, store.Position{})
+		}
+		if err == nil && update.Position.Revision > 0 {
+			return update
+		}
+	}
+	return Update{}
 }
 
 // loadFromNeighbours applies the state of a neighbour that was checked with the store
@@ -54,9 +96,8 @@
 		addresses, isFirst := s.peers.Neighbours(time.Now())
 		update, address := s.newestState(ctx, addresses[:min(neighboursAsked, len(addresses))])
 		if address != "" && time.Since(update.CheckedAt) <= maxStateAge {
-			s.log.Info().Str("peer", address).Uint64("revision", update.Revision).Dur("checked", time.Since(update.CheckedAt)).Msg("full state loaded from a neighbour")
-			s.apply(update, fromPeer, time.Now())
-			return true
+			s.log.Info().Str("peer", address).Stringer("position", update.Position).Dur("checked", time.Since(update.CheckedAt)).Msg("full state loaded from a neighbour")
+			return s.apply(update, fromPeer, time.Now()) == nil
 		}
 		waited := time.Since(start)
 		if waited >= neighbourTimeout || (waited >= settleTime && (isFirst || len(addresses) == 0)) {
@@ -78,11 +119,11 @@
 		from   string
 	)
 	for _, address := range addresses[:min(maxStatesAsked, len(addresses))] {
-		update, err := s.peerChanges(ctx, address, 0)
+		update, err := s.peerChanges(ctx, address, store.Position{})
 		if err != nil || len(update.Items) == 0 {
 			continue
 		}
-		if from == "" || update.Revision > newest.Revision {
+		if from == "" || update.Position.IsAfter(newest.Position) {
 			newest, from = update, address
 		}
 	}
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -11,6 +11,7 @@
 	"hyssophub/canary"
 	"hyssophub/fleet"
 	"hyssophub/rules"
+	"hyssophub/store"
 	"hyssophub/work"
 )
 
@@ -31,6 +32,10 @@
 	// massExpiryMin is the number of deletions in one answer of the store at which
 	// they are treated as expiries in an outage and not as single departures.
 	massExpiryMin = 4
+	// rewriteBound is the time after a change of era in which versions that the store has
+	// lost stay in force unless they are written again. The store takes up to a watch to
+	// remove a registration again whose server has left, and the operators need a moment.
+	rewriteBound = 10 * time.Second
 	// retryMin and retryMax bound the backoff after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
@@ -65,6 +70,8 @@
 	// onPanic, if not nil, is called with the panic of a step, which then counts as
 	// a failed call.
 	onPanic func(work.Panic)
+	// onEra, if not nil, is called after a change of era, without a lock held.
+	onEra func(EraChanged)
 	// together is set if all hosts of the tier start for the first time.
 	together bool
 	// notified wakes followPeers after a notification from a peer.
@@ -77,8 +84,8 @@
 	// caughtUp says that a full state was applied that was up to date. Until then
 	// the host watches the store itself.
 	caughtUp bool
-	// progress is the store revision up to which all changes are applied. The next
-	// watch starts after it.
+	// progress is the store revision, in the era of the history, up to which all changes
+	// are applied. The next watch starts after it.
 	progress uint64
 	// watching says whether this host gets changes from the store itself: it last
 	// got an answer and has not relied on peers since.
@@ -104,8 +111,9 @@
 
 // expiry is a deleted registration whose instance stays in use until a deadline.
 type expiry struct {
-	// revision is the store revision of the deletion.
-	revision uint64
+	// key and position are those of the deletion.
+	key      string
+	position store.Position
 	until    time.Time
 }
 
@@ -125,6 +133,11 @@
 	}
 }
 
+// OnEraChange sets the function that is called, before the next step of the Syncer, once a
+// change of era is applied. Whoever wrote to the store writes it again then. It must be set
+// before Start.
+func (s *Syncer) OnEraChange(f func(EraChanged)) { s.onEra = f }
+
 // Start starts the goroutine that keeps the tables up to date. together says that all
 // hosts of the tier start for the first time, so that none has a state yet and nobody
 // waits for them.
@@ -162,22 +175,25 @@
 	InDoubt int
 	// Malformed counts the entries that were ignored because they cannot be decoded.
 	Malformed uint64
+	// Lost is the number of entries that the store has lost in a change of era and that
+	// are in force until they are written again.
+	Lost int
 }
 
 // Status returns what this host believes of the store at present.
 func (s *Syncer) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Status{CheckedAt: s.peers.CheckedAt(s.history.revision), InDoubt: len(s.expiring), Malformed: s.malformed}
+	return Status{CheckedAt: s.peers.CheckedAt(s.history.position), InDoubt: len(s.expiring), Malformed: s.malformed, Lost: len(s.history.lost)}
 }
 
-// ChangesAfter returns the changes after a revision for another host, or the full
+// ChangesAfter returns the changes after a position for another host, or the full
 // state if the changes are no longer kept.
-func (s *Syncer) ChangesAfter(revision uint64) Update {
+func (s *Syncer) ChangesAfter(position store.Position) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	update := s.history.after(revision)
-	update.CheckedAt = s.peers.CheckedAt(s.history.revision)
+	update := s.history.after(position)
+	update.CheckedAt = s.peers.CheckedAt(s.history.position)
 	return update
 }
 
@@ -207,6 +223,12 @@
 		case loaded && errors.Is(err, ErrCompacted):
 			s.log.Warn().Uint64("after", s.progress).Msg("store revision compacted, reloading the full state")
 			loaded = false
+		case errors.Is(err, ErrEraChanged):
+			if !loaded {
+				sleep(ctx, pause)
+				pause = min(2*pause, retryMax)
+			}
+			loaded = false
 		case loaded && errors.Is(err, ErrUnreadable):
 			// The pages of the full state are small, whatever has changed.
 			s.log.Warn().Err(err).Uint64("after", s.progress).Msg("changes in the store unreadable, reloading the full state")
@@ -233,7 +255,8 @@
 // watch waits for the next changes in the store and applies them.
 func (s *Syncer) watch(ctx context.Context) error {
 	s.mu.Lock()
-	after := max(s.progress, s.peers.Progress(s.history.revision))
+	position := s.history.position
+	after := max(s.progress, position.Revision+s.peers.Idle(position))
 	wait := s.watchWait(time.Now())
 	s.mu.Unlock()
 	update, err := s.source.Wait(ctx, after, wait)
@@ -241,7 +264,9 @@
 		return err
 	}
 	now := time.Now()
-	s.apply(update, fromStore, now)
+	if err := s.apply(update, fromStore, now); err != nil {
+		return err
+	}
 	if len(update.Items) > 0 {
 		s.mu.Lock()
 		pause := min(batchPause, s.watchWait(now))
@@ -252,7 +277,8 @@
 }
 
 // watchWait returns how long the store may hold the next watch open: until the first
-// registration in its grace period is due to be removed, and not at all if the last call
+// registration in its grace period is due to be removed or versions that the store has lost
+// are due to be released, and not at all if the last call
 // failed, because no registration is removed before the store answers again.
 func (s *Syncer) watchWait(now time.Time) time.Duration {
 	if !s.failingSince.IsZero() {
@@ -262,6 +288,9 @@
 	for _, e := range s.expiring {
 		wait = min(wait, max(probeTime, e.until.Sub(now)))
 	}
+	for key := range s.history.lost {
+		wait = min(wait, max(probeTime, s.lostUntil(key).Sub(now)))
+	}
 	return wait
 }
 
@@ -296,24 +325,24 @@
 		return
 	}
 	s.mu.Lock()
-	after := s.history.revision
+	after := s.history.position
 	s.mu.Unlock()
 	update, err := s.peerChanges(ctx, address, after)
 	if err != nil {
 		return
 	}
-	s.apply(update, fromPeer, time.Now())
+	_ = s.apply(update, fromPeer, time.Now())
 }
 
-// peerChanges asks a host for the changes after a revision, and marks the host as
+// peerChanges asks a host for the changes after a position, and marks the host as
 // suspect if the call fails.
-func (s *Syncer) peerChanges(ctx context.Context, address string, after uint64) (Update, error) {
+func (s *Syncer) peerChanges(ctx context.Context, address string, after store.Position) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	update, err := s.peers.Changes(ctx, address, after)
 	if err != nil {
 		s.peers.Suspect(address, time.Now())
-		s.log.Warn().Err(err).Str("peer", address).Uint64("after", after).Msg("fetching changes from another host failed")
+		s.log.Warn().Err(err).Str("peer", address).Stringer("after", after).Msg("fetching changes from another host failed")
 	}
 	return update, err
 }
@@ -335,6 +364,6 @@
 	s.watching = false
 	if s.failingSince.IsZero() {
 		s.failingSince = now
-		s.log.Warn().Err(err).Uint64("revision", s.history.revision).Msg("store unreachable")
+		s.log.Warn().Err(err).Stringer("position", s.history.position).Msg("store unreachable")
 	}
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -4,7 +4,11 @@
 // feed, and sending the requests to package dial.
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"hyssophub/store"
+)
 
 // State is the state that an instance declares in its registration. The interface
 // is sealed.
@@ -38,6 +42,6 @@
 	// StartMs is the start time in milliseconds of Unix time. It tells two runs
 	// under one ID apart.
 	StartMs int64
-	// Revision is the store revision of the registration.
-	Revision uint64
+	// Position is that of the registration in the store.
+	Position store.Position
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -7,6 +7,7 @@
 
 	"hyssophub/flow"
 	"hyssophub/rules"
+	"hyssophub/store"
 )
 
 // Table holds the registered instances. In the lock order, its lock comes after
@@ -50,16 +51,25 @@
 	t.unreachable = zones
 }
 
-// Register adds or replaces the registration of an instance. A revision that is
-// not newer than the known one is ignored. The statistics are reset if the start
+// Register adds or replaces the registration of an instance. A position that is
+// not newer than the known one is ignored. One that is read again in a later era of the
+// store leaves the instance as cold as it was. The statistics are reset if the start
 // time, service or address changed.
 func (t *Table) Register(i Instance, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.byID[i.ID]
-	if ok && i.Revision <= s.Revision {
+	if ok && !i.Position.IsAfter(s.Position) {
 		return
 	}
+	if ok && i.Position.Era > s.Position.Era {
+		known := s.Instance
+		known.Position.Era = i.Position.Era
+		if known == i {
+			s.Instance = i
+			return
+		}
+	}
 	if ok && (s.StartMs != i.StartMs || s.Service != i.Service || s.Address != i.Address) {
 		t.remove(s)
 		ok = false
@@ -91,12 +101,12 @@
 	}
 }
 
-// Remove removes an instance whose registration was deleted at the given revision.
+// Remove removes an instance whose registration was deleted at the given position.
 // It has no effect on a newer registration.
-func (t *Table) Remove(id string, revision uint64) {
+func (t *Table) Remove(id string, position store.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.byID[id]; ok && s.Revision <= revision {
+	if s, ok := t.byID[id]; ok && !s.Position.IsAfter(position) {
 		t.remove(s)
 	}
 }
--- a/gossip/host.go
+++ b/gossip/host.go
@@ -5,7 +5,11 @@
 // receiving heartbeats is left to package peer.
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"hyssophub/store"
+)
 
 // Host is what a host announces about itself in its heartbeats.
 type Host struct {
@@ -21,11 +25,11 @@
 	// Incarnation tells two runs of a host apart. It is greater for later runs
 	// unless the clock was set back.
 	Incarnation uint64
-	// Revision is the store revision of the newest change up to which the host has
-	// applied all. Progress, at least Revision, is the store revision up to which it
-	// knows that there is no further change.
-	Revision uint64
-	Progress uint64
+	// Position is that of the newest change in the store up to which the host has applied
+	// all. Idle is the number of revisions after it that are known to bring no further
+	// change.
+	Position store.Position
+	Idle     uint64
 	// Watching means that the host watches the store itself.
 	Watching bool
 	// Leaving means that the host is stopping.
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"hyssophub/store"
 )
 
 // Timeouts and backoff of the failure detector.
@@ -50,6 +52,8 @@
 	// started is when the local host started.
 	started time.Time
 	hosts   map[string]*Record
+	// eraSince is when the local host followed the store into its present era.
+	eraSince time.Time
 	// zones holds the reachability by availability zone.
 	zones map[string]*reachability
 	// fullWeight is the weight of the local host at its best speed.
@@ -69,7 +73,11 @@
 func (t *Table) UpdateSelf(change func(*Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.self.Position
 	change(&t.self)
+	if t.self.Position.Era != before.Era && before != (store.Position{}) {
+		t.eraSince = time.Now()
+	}
 }
 
 // Receive merges a heartbeat that arrived now. It returns the reply to send to a
@@ -198,16 +206,19 @@
 
 // ShouldWatch reports whether the local host must watch the store itself: fewer
 // than watchersPerZone watchers precede it by name in its availability zone, or
-// fewer than minOtherWatchers other hosts watch.
+// fewer than minOtherWatchers other hosts watch. Hosts that stay in an earlier era of the
+// store do not count.
 func (t *Table) ShouldWatch(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	watchersBefore, watchers := 0, 0
+	// The others watch the store in its new era once their watches have ended.
+	followsEra := now.Sub(t.eraSince) < storeContactTimeout
 	for _, r := range t.hosts {
 		if !t.isLive(r, now) {
 			continue
 		}
-		isWatcher := r.Watching && now.Sub(r.StoreContact) < storeContactTimeout
+		isWatcher := r.Watching && now.Sub(r.StoreContact) < storeContactTimeout && (r.Position.Era >= t.self.Position.Era || followsEra)
 		if isWatcher {
 			watchers++
 		}
@@ -226,10 +237,10 @@
 	defer t.mu.Unlock()
 	var best *Record
 	for _, r := range t.hosts {
-		if !t.isAvailable(r, now) || r.Revision <= t.self.Revision {
+		if !t.isAvailable(r, now) || !r.Position.IsAfter(t.self.Position) {
 			continue
 		}
-		if best == nil || r.Revision > best.Revision || (r.Revision == best.Revision && t.isSameZone(r) && !t.isSameZone(best)) {
+		if best == nil || r.Position.IsAfter(best.Position) || (r.Position == best.Position && t.isSameZone(r) && !t.isSameZone(best)) {
 			best = r
 		}
 	}
@@ -239,32 +250,33 @@
 	return best.Host, true
 }
 
-// Progress returns the highest revision up to which any host whose newest change has
-// the given revision has seen all changes; at least revision itself.
-func (t *Table) Progress(revision uint64) uint64 {
+// Idle returns the greatest number of revisions after a position that are known to bring no
+// further change to any host whose newest change is at the position.
+func (t *Table) Idle(position store.Position) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	progress := revision
+	idle := uint64(0)
 	for _, r := range t.hosts {
-		if r.Revision == revision && r.Progress > progress {
-			progress = r.Progress
+		if r.Position == position {
+			idle = max(idle, r.Idle)
 		}
 	}
-	return progress
+	return idle
 }
 
 // CheckedAt returns the last time at which the store held nothing newer than a
-// revision, as far as known: the last answer of the store to a host whose newest change
-// is not newer. Zero means that none is known.
-func (t *Table) CheckedAt(revision uint64) time.Time {
+// position, as far as known: the last answer of the store to a host of the same era whose
+// newest change is not newer. Zero means that none is known.
+func (t *Table) CheckedAt(position store.Position) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	isChecked := func(r *Record) bool { return r.Position.Era == position.Era && !r.Position.IsAfter(position) }
 	var checked time.Time
-	if t.self.Revision <= revision {
+	if isChecked(&t.self) {
 		checked = t.self.StoreContact
 	}
 	for _, r := range t.hosts {
-		if r.Revision <= revision && r.StoreContact.After(checked) {
+		if isChecked(r) && r.StoreContact.After(checked) {
 			checked = r.StoreContact
 		}
 	}
--- a/peer/gossip_socket.go
+++ b/peer/gossip_socket.go
@@ -11,6 +11,7 @@
 
 	"hyssophub/gossip"
 	"hyssophub/peer/peerpb"
+	"hyssophub/store"
 	"hyssophub/work"
 )
 
@@ -81,8 +82,9 @@
 		Name:        r.Name,
 		Zone:        r.Zone,
 		Weight:      uint32(max(0, r.Weight)),
-		Revision:    r.Revision,
-		Position:    r.Progress,
+		Era:         r.Position.Era,
+		Revision:    r.Position.Revision,
+		Position:    r.Position.Revision + r.Idle,
 		Watching:    r.Watching,
 		Age:         uint32(max(0, now.Sub(r.LastSeen).Milliseconds())),
 		Incarnation: r.Incarnation,
@@ -142,8 +144,8 @@
 			HeartbeatAddress: heartbeatAddress,
 			Weight:           int(msg.GetWeight()),
 			Incarnation:      msg.GetIncarnation(),
-			Revision:         msg.GetRevision(),
-			Progress:         msg.GetPosition(),
+			Position:         store.Position{Era: msg.GetEra(), Revision: msg.GetRevision()},
+			Idle:             max(msg.GetPosition(), msg.GetRevision()) - msg.GetRevision(),
 			Watching:         msg.GetWatching(),
 			Leaving:          msg.GetLeaving(),
 			Joined:           msg.GetJoined(),
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -16,6 +16,7 @@
 	"hyssophub/heads"
 	"hyssophub/peer/peerpb"
 	"hyssophub/relay"
+	"hyssophub/store"
 )
 
 // RelayHandler executes the calls of other hosts that serve the operators'
@@ -27,8 +28,8 @@
 	// CollectMore returns what was not ready when Collect returned. The token is
 	// that of the partial result.
 	CollectMore(ctx context.Context, token uint64) (relay.PartialResult, error)
-	// ChangesAfter returns the changes of the store after a revision.
-	ChangesAfter(revision uint64) feed.Update
+	// ChangesAfter returns the changes of the store after a position.
+	ChangesAfter(position store.Position) feed.Update
 }
 
 // NewRelayHandler returns the HTTP handler of the twirp service. Mount it at
@@ -59,20 +60,69 @@
 
 // Changes implements peerpb.Tier.
 func (s *relayServer) Changes(_ context.Context, msg *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
-	update := s.handler.ChangesAfter(msg.GetAfter())
-	reply := &peerpb.ChangesReply{Revision: update.Revision, Whole: update.Full}
+	after := store.Position{Era: feed.PresentEra, Revision: msg.GetAfter()}
+	if msg.Era != nil {
+		after.Era = msg.GetEra()
+	}
+	return encodeUpdate(s.handler.ChangesAfter(after)), nil
+}
+
+func encodeUpdate(update feed.Update) *peerpb.ChangesReply {
+	reply := &peerpb.ChangesReply{
+		Revision: update.Position.Revision, Era: update.Position.Era, Whole: update.Full, Start: update.Era.Start, Before: update.Era.Before,
+		Items: encodeItems(update.Items, update.Position.Era), Lost: encodeItems(update.Lost, update.Position.Era),
+	}
 	if !update.CheckedAt.IsZero() {
 		// Rounded up, so that the receiver never sees a check as more recent.
 		reply.Checked = uint32(min(time.Since(update.CheckedAt), maxCheckedAge)/time.Millisecond) + 2
 	}
-	for _, item := range update.Items {
-		reply.Items = append(reply.Items, &peerpb.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted, Away: item.MayReturn,
-		})
+	if !update.Era.Since.IsZero() {
+		reply.Since = uint64(max(0, time.Since(update.Era.Since).Milliseconds())) + 1
+	}
+	return reply
+}
+
+func encodeItems(items []feed.Item, era uint64) []*peerpb.Item {
+	list := make([]*peerpb.Item, 0, len(items))
+	for _, item := range items {
+		p := &peerpb.Item{Key: item.Key, Value: item.Value, Revision: item.Position.Revision, Deleted: item.Deleted, Away: item.MayReturn}
+		if item.Position.Era != era {
+			p.Era = &item.Position.Era
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+func decodeUpdate(msg *peerpb.ChangesReply, now time.Time) feed.Update {
+	update := feed.Update{
+		Position: store.Position{Era: msg.GetEra(), Revision: msg.GetRevision()}, Full: msg.GetWhole(), Era: feed.Era{Start: msg.GetStart(), Before: msg.GetBefore()},
+		Items: decodeItems(msg.GetItems(), msg.GetEra()), Lost: decodeItems(msg.GetLost(), msg.GetEra()),
+	}
+	if checked := msg.GetChecked(); checked > 0 {
+		update.CheckedAt = now.Add(-time.Duration(checked) * time.Millisecond)
+	}
+	if since := msg.GetSince(); since > 0 {
+		update.Era.Since = now.Add(-time.Duration(min(since-1, maxEraAge)) * time.Millisecond)
 	}
-	return reply, nil
+	return update
 }
 
+func decodeItems(items []*peerpb.Item, era uint64) []feed.Item {
+	var list []feed.Item
+	for _, item := range items {
+		position := store.Position{Era: era, Revision: item.GetRevision()}
+		if item.Era != nil {
+			position.Era = item.GetEra()
+		}
+		list = append(list, feed.Item{Key: item.GetKey(), Value: item.GetValue(), Position: position, Deleted: item.GetDeleted(), MayReturn: item.GetAway()})
+	}
+	return list
+}
+
+// maxEraAge bounds the age of an era in a message, in milliseconds.
+const maxEraAge = uint64(24 * time.Hour / time.Millisecond)
+
 // maxCheckedAge bounds the age of a check in a message.
 const maxCheckedAge = 24 * time.Hour
 
@@ -187,22 +237,13 @@
 	return decodePartialResult(msg), nil
 }
 
-// Changes requests the changes of the store after a revision from a host.
-func (c *RelayClient) Changes(ctx context.Context, address string, after uint64) (feed.Update, error) {
-	msg, err := c.stub(address).Changes(ctx, &peerpb.ChangesRequest{After: after})
+// Changes requests the changes of the store after a position from a host.
+func (c *RelayClient) Changes(ctx context.Context, address string, after store.Position) (feed.Update, error) {
+	msg, err := c.stub(address).Changes(ctx, &peerpb.ChangesRequest{After: after.Revision, Era: &after.Era})
 	if err != nil {
 		return feed.Update{}, decodeError(err)
 	}
-	update := feed.Update{Revision: msg.GetRevision(), Full: msg.GetWhole()}
-	if checked := msg.GetChecked(); checked > 0 {
-		update.CheckedAt = time.Now().Add(-time.Duration(checked) * time.Millisecond)
-	}
-	for _, item := range msg.GetItems() {
-		update.Items = append(update.Items, feed.Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted(), MayReturn: item.GetAway(),
-		})
-	}
-	return update, nil
+	return decodeUpdate(msg, time.Now()), nil
 }
 
 // isAnswered reports whether an error of a call is the answer of the called host.
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -49,8 +49,9 @@
 // view of the tier.
 type TierState struct {
 	// Version is that of the rules in force. Revision is the store revision of
-	// the newest change that was applied.
+	// the newest change that was applied, in the era of the store.
 	Version  uint64
+	Era      uint64
 	Revision uint64
 	// Watching is set if the host reads changes from the store itself rather
 	// than from another host.
@@ -62,6 +63,9 @@
 	// and may be renewed, and Malformed that of store entries that were ignored.
 	InDoubt   int
 	Malformed uint64
+	// Lost is the number of entries that the store has lost and that are in force until
+	// they are written again.
+	Lost int
 	// Ready is set if the host reports ready to the balancer.
 	Ready bool
 	// Hosts is the number of live hosts, including the host itself.
@@ -131,6 +135,8 @@
 	}{
 		{"hyssophub.rules.version", "Version of the rules in force.", func(t TierState) int64 { return int64(t.Version) }},
 		{"hyssophub.feed.revision", "Store revision of the newest change applied.", func(t TierState) int64 { return int64(t.Revision) }},
+		{"hyssophub.feed.era", "Number of times that the store came back from an older copy; 0 if it does not say.", func(t TierState) int64 { return int64(t.Era) }},
+		{"hyssophub.feed.lost", "Entries that the store has lost and that are in force until they are written again.", func(t TierState) int64 { return int64(t.Lost) }},
 		{"hyssophub.feed.watching", "1 if the host follows the store itself.", func(t TierState) int64 { return boolValue(t.Watching) }},
 		{"hyssophub.feed.age", "Milliseconds since the store was known to hold nothing newer; -1 if never.", func(t TierState) int64 { return max(-1, t.Age.Milliseconds()) }},
 		{"hyssophub.feed.in_doubt", "Backend servers in use whose deleted registrations may be renewed.", func(t TierState) int64 { return int64(t.InDoubt) }},
