Script the changes of era, and play drills in the soak

A full state whose deletions the history had dropped at once left their servers in use, and a version that another host held was refused by one that had missed the era before; both showed in the model.

--- a/feed/apply.go
+++ b/feed/apply.go
@@ -295,8 +295,8 @@
 	}
 	for _, item := range update.Items {
 		// Items that the history holds in a newer version are skipped. The tables
-		// ignore what they already hold.
-		if s.history.items[item.Key].Position == item.Position {
+		// ignore what they already hold. The history may have dropped a deletion already.
+		if held, ok := s.history.items[item.Key]; held.Position == item.Position || (!ok && item.Deleted) {
 			s.applyChange(item, now)
 		}
 	}
--- a/feed/history.go
+++ b/feed/history.go
@@ -171,9 +171,11 @@
 // deletions of the other items that it lacks.
 func (h *history) enter(update Update, now time.Time, holds bool) []Item {
 	before, previous := h.items, h.position
-	// Another host that has read an era which this one has missed knows the order of the
-	// changes there.
-	holds = holds && update.Era.Before <= previous.Era
+	if update.Era.Before > previous.Era {
+		// Another host that has read an era which this one has missed knows the order of the
+		// changes there, and which of them are lost.
+		holds, previous.Revision = false, 0
+	}
 	*h = history{
 		items: make(map[string]Item, len(update.Items)), lost: make(map[string]Item), maxDeleted: h.maxDeleted,
 		since: update.Position, position: update.Position, previous: previous, era: update.Era,
@@ -188,14 +190,16 @@
 	for _, item := range update.Items {
 		h.put(item)
 	}
+	// When the store removed what it lacks, if it ever had it, is not known.
+	missing := store.Position{Era: update.Position.Era}
 	var removed []Item
 	for key, item := range before {
 		_, ok := h.items[key]
 		switch {
 		case !ok && item.Deleted:
-			h.put(Item{Key: key, Position: update.Position, Deleted: true, MayReturn: item.MayReturn})
+			h.put(Item{Key: key, Position: missing, Deleted: true, MayReturn: item.MayReturn})
 		case !ok && !holds:
-			deletion := Item{Key: key, Position: update.Position, Deleted: true, MayReturn: true}
+			deletion := Item{Key: key, Position: missing, Deleted: true, MayReturn: true}
 			h.put(deletion)
 			removed = append(removed, deletion)
 		case holds:
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -49,6 +49,7 @@
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	var position store.Position
+	var era Era
 	for _, a := range d.CmdArgs {
 		switch a.Key {
 		case "at":
@@ -59,6 +60,10 @@
 			s.now = s.start.Add(at)
 		case "revision":
 			position = parsePosition(a.Vals[0])
+		case "before":
+			era.Before, _ = strconv.ParseUint(a.Vals[0], 10, 64)
+		case "start":
+			era.Start = parsePosition(a.Vals[0]).Revision
 		}
 	}
 	switch d.Cmd {
@@ -75,7 +80,7 @@
 	case "changes":
 		s.apply(Update{Items: items(d.Input), Position: position}, fromStore)
 	case "peer":
-		s.apply(Update{Items: items(d.Input), Position: position, Full: d.HasArg("full")}, fromPeer)
+		s.apply(Update{Items: items(d.Input), Position: position, Full: d.HasArg("full"), Era: era}, fromPeer)
 	case "store-fails":
 		s.syncer.recordFailure(errors.New("no answer"), s.now)
 	case "follow-peers":
@@ -86,7 +91,7 @@
 		s.syncer.removeExpired(s.now)
 	case "status":
 		status := s.syncer.Status()
-		return fmt.Sprintf("in doubt %d, malformed %d", status.InDoubt, status.Malformed)
+		return fmt.Sprintf("in doubt %d, malformed %d, lost %d", status.InDoubt, status.Malformed, status.Lost)
 	case "changes-after":
 		return formatUpdate(s.syncer.ChangesAfter(position))
 	default:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -172,6 +172,7 @@
 		{"hangup", f.reloadHost},
 		{"store", f.degradeStore},
 		{"forget", f.compactStore},
+		{"drill", f.drillStore},
 		{"rules", f.writeRules},
 		{"path", f.degradeServerConn},
 		{"pause", f.pauseServer},
@@ -272,6 +273,29 @@
 	})
 }
 
+// drillStore makes the store go away for a moment and come back from a copy that is up to
+// maxCopyAge old. What it has lost is written again up to rewriteDelay later.
+func (f *faultInjector) drillStore(time.Duration) {
+	f.d.store.setFault(storeUnavailable{})
+	f.d.recordDisturbance()
+	away := time.Duration(f.random.IntN(int(rewriteDelay)))
+	age := time.Duration(f.random.IntN(int(maxCopyAge)))
+	delay := time.Duration(f.random.IntN(int(rewriteDelay)))
+	f.undoAfter(away, func() {
+		f.d.store.drill(age)
+		f.d.store.setFault(storeHealthy{})
+		f.d.recordDisturbance()
+		sleep(delay)
+		f.d.store.rewrite()
+		f.d.recordDisturbance()
+	})
+}
+
+const (
+	maxCopyAge   = 3 * time.Second
+	rewriteDelay = 1500 * time.Millisecond
+)
+
 // compactStore makes watches from an earlier revision fail.
 func (f *faultInjector) compactStore(time.Duration) { f.d.store.compact() }
 
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -53,6 +55,17 @@
 	fault   storeFault
 	// onStatus, if not nil, is called with each status of a roll-out as it is written.
 	onStatus func(service, state string)
+	// era counts the drills. changes holds the changes of the present era, also those of
+	// the dropped history, and intended what was written last.
+	era      uint64
+	changes  []change
+	intended map[string]item
+}
+
+// change is an accepted write.
+type change struct {
+	item
+	at time.Time
 }
 
 func newStore(addr string) (*store, error) {
@@ -60,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{addr: addr, items: make(map[string]item), revision: 1, changed: make(chan struct{}), fault: storeHealthy{}}
+	s := &store{addr: addr, items: make(map[string]item), revision: 1, changed: make(chan struct{}), fault: storeHealthy{}, era: 1, intended: make(map[string]item)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
@@ -91,10 +104,61 @@
 		i.Value, _ = json.Marshal(value)
 		s.items[key] = i
 	}
-	s.history = append(s.history, i)
+	s.intended[key] = i
+	s.accept(i)
+	return time.Now()
+}
+
+// accept adds a change to the history; the lock must be held.
+func (s *store) accept(i item) {
+	s.history, s.changes = append(s.history, i), append(s.changes, change{item: i, at: time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return time.Now()
+}
+
+// drill brings the store back from a copy of the given age. Revisions go back to that of
+// the copy and are given out again.
+func (s *store) drill(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items, s.revision = make(map[string]item), 1
+	var kept []change
+	for _, c := range s.changes {
+		if time.Since(c.at) < age && c.Rev > 1 {
+			continue
+		}
+		kept = append(kept, c)
+		if s.revision = c.Rev; c.Deleted {
+			delete(s.items, c.Key)
+		} else {
+			s.items[c.Key] = c.item
+		}
+	}
+	s.changes = kept
+	s.compacted = min(s.compacted, s.revision)
+	s.history = slices.DeleteFunc(slices.Clone(s.history), func(i item) bool { return i.Rev > s.revision })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// rewrite writes again what the operator and the backend servers wrote and a drill lost.
+func (s *store) rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, i := range s.intended {
+		held, ok := s.items[key]
+		if ok == !i.Deleted && bytes.Equal(held.Value, i.Value) {
+			continue
+		}
+		s.revision++
+		i.Rev = s.revision
+		s.items[key] = i
+		if i.Deleted {
+			delete(s.items, key)
+		}
+		s.accept(i)
+	}
 }
 
 // compact drops the history of changes. Watches from an earlier revision are
@@ -109,6 +173,7 @@
 func (s *store) applyFault(ctx context.Context, w http.ResponseWriter) bool {
 	s.mu.Lock()
 	fault := s.fault
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	switch fault.(type) {
 	case storeUnavailable:
@@ -131,6 +196,7 @@
 		return
 	}
 	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	list := []item{}
 	for key, i := range s.items {
 		if strings.HasPrefix(key, r.FormValue("Prefix")) {
@@ -152,7 +218,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -164,6 +230,7 @@
 			}
 		}
 		revision, changed := s.revision, s.changed
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if len(events) > 0 {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "StoreRevision": revision})
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -126,6 +127,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	current := []item{}
 	holds := true
 	for _, e := range change.Expect {
@@ -142,14 +144,12 @@
 	for _, p := range change.Puts {
 		i := item{Key: p.Key, Value: p.Value, Rev: s.revision}
 		s.items[p.Key] = i
-		s.history = append(s.history, i)
+		s.accept(i)
 		if service, ok := strings.CutPrefix(p.Key, "status/rollout/"); ok && s.onStatus != nil {
 			var status struct{ State string }
 			_ = json.Unmarshal(p.Value, &status)
 			s.onStatus(service, status.State)
 		}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
 	_ = json.NewEncoder(w).Encode(map[string]any{"Rev": s.revision})
 }
