--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -175,7 +175,7 @@
 		OnPanic:    r.reportPanic,
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
-	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
+	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), feed.Options{ReportInterval: r.settings.ReportInterval, OnPanic: r.reportPanic})
 	if r.settings.Rollouts {
 		r.store.FollowRollouts()
 		r.syncer.UseRollouts(r.rollouts)
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -96,7 +96,7 @@
 // holdsLost reports whether versions that the store has lost stay in force.
 func (s *Syncer) holdsLost(now time.Time) bool {
 	since := s.history.era.Since
-	return since.IsZero() || now.Sub(since) < rewriteBound
+	return since.IsZero() || now.Sub(since) < s.options.rewriteTime()
 }
 
 // lostUntil returns the time until which a lost version stays in force. Servers whose
@@ -104,7 +104,7 @@
 func (s *Syncer) lostUntil(key string) time.Time {
 	since := s.history.era.Since
 	if _, isServer := s.decode(Item{Key: key, Deleted: true}).(ServerRemoved); !isServer || !s.history.lost[key].Deleted {
-		return since.Add(rewriteBound)
+		return since.Add(s.options.rewriteTime())
 	}
 	if s.recoveredAt.After(since) {
 		since = s.recoveredAt
@@ -142,7 +142,7 @@
 			line.Dur("silence", silence)
 		}
 		line.Msg("store reachable again")
-		if silence >= expirySilence {
+		if silence >= s.options.expirySilence() {
 			s.recoveredAt = now
 			s.restartGrace(now)
 		}
@@ -257,7 +257,7 @@
 func (s *Syncer) decode(item Item) Change {
 	var change Change
 	completed := false
-	work.Guard(s.onPanic, func() {
+	work.Guard(s.options.OnPanic, func() {
 		change = s.source.Decode(item)
 		completed = true
 	})
@@ -265,7 +265,7 @@
 		return change
 	}
 	malformed := Malformed{Key: item.Key, Position: item.Position, Err: errPanicked}
-	work.Guard(s.onPanic, func() {
+	work.Guard(s.options.OnPanic, func() {
 		if removed, ok := s.source.Decode(Item{Key: item.Key, Position: item.Position, Deleted: true}).(ServerRemoved); ok {
 			malformed.ID = removed.ID
 		}
@@ -287,7 +287,7 @@
 func (s *Syncer) applyFull(update Update, now time.Time) {
 	var removed []Item
 	if update.Position.Era > s.history.position.Era {
-		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < rewriteBound
+		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < s.options.rewriteTime()
 		removed = s.history.enter(update, now, holds)
 		s.restartGrace(now)
 	} else {
@@ -342,7 +342,7 @@
 	if !checked.After(s.heardAt) {
 		return
 	}
-	if checked.Sub(s.heardAt) >= peerSilence {
+	if checked.Sub(s.heardAt) >= s.options.peerSilence() {
 		s.restartGrace(now)
 	}
 	s.heardAt = checked
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -83,7 +83,7 @@
 func follow(t *testing.T, p *fakeSource, c *fakePeers, duration time.Duration) (*fleet.Table, *rules.Table) {
 	t.Helper()
 	instances, routing := fleet.NewTable("a", flow.NewTable("self", time.Now())), rules.NewTable(0)
-	syncer := NewSyncer(p, c, routing, instances, zerolog.Nop(), nil)
+	syncer := NewSyncer(p, c, routing, instances, zerolog.Nop(), Options{})
 	syncer.Start(c.together)
 	time.Sleep(duration)
 	syncer.Close()
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -74,7 +74,7 @@
 		}
 		s.now = s.start
 		s.fleet, s.rules, s.peers = fleet.NewTable("a", flow.NewTable("self", s.start)), rules.NewTable(0), &recordedPeers{}
-		s.syncer = NewSyncer(decoder{}, s.peers, s.rules, s.fleet, zerolog.Nop(), s.onPanic)
+		s.syncer = NewSyncer(decoder{}, s.peers, s.rules, s.fleet, zerolog.Nop(), Options{OnPanic: s.onPanic})
 	case "load":
 		s.apply(Update{Items: items(d.Input), Position: position, Full: true}, fromStore)
 	case "changes":
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -20,22 +21,28 @@
 	// their registrations expired in an outage of the store, counted from its next
 	// answer. The platform specifies about two seconds.
 	renewalGrace = 2200 * time.Millisecond
-	// expirySilence is the time without an answer of the store from which on
-	// registrations may have expired meanwhile. The store removes a registration after
-	// three report intervals of 1.2 s, the first of which may have passed before. It
-	// is more than renewalGrace, so that a store that answers in between cannot
-	// extend a grace period.
-	expirySilence = 2400 * time.Millisecond
-	// peerSilence is the same for the answers of the store to other hosts, which are
-	// known from heartbeats and are up to a watch and its batch apart.
-	peerSilence = 4 * time.Second
+	// defaultReportInterval is the time between two reports of a backend server to the
+	// store if the settings do not say.
+	defaultReportInterval = 1200 * time.Millisecond
+	// expiryReports is the number of report intervals without an answer of the store from
+	// which on registrations may have expired meanwhile. The store removes a registration
+	// after three of them, the first of which may have passed before.
+	expiryReports = 2
+	// minExpirySilence is more than renewalGrace, so that a store that answers in between
+	// cannot extend a grace period.
+	minExpirySilence = renewalGrace + 200*time.Millisecond
+	// peerDelay is the time by which the answers of the store to other hosts, known from
+	// heartbeats, may be further apart: most of a watch and its batch.
+	peerDelay = 1600 * time.Millisecond
 	// massExpiryMin is the number of deletions in one answer of the store at which
 	// they are treated as expiries in an outage and not as single departures.
 	massExpiryMin = 4
-	// rewriteBound is the time after a change of era in which versions that the store has
-	// lost stay in force unless they are written again. The store takes up to a watch to
-	// remove a registration again whose server has left, and the operators need a moment.
-	rewriteBound = 10 * time.Second
+	// rewriteBound is the least time after a change of era in which versions that the store
+	// has lost stay in force unless they are written again, and rewriteReports the least
+	// number of report intervals: the store removes the registration of a server that has
+	// left after three, and the operators need a moment.
+	rewriteBound   = 10 * time.Second
+	rewriteReports = 5
 	// retryMin and retryMax bound the backoff after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
@@ -67,9 +74,7 @@
 	// rollouts, if not nil, are the roll-outs of services' versions.
 	rollouts *canary.Table
 	log      zerolog.Logger
-	// onPanic, if not nil, is called with the panic of a step, which then counts as
-	// a failed call.
-	onPanic func(work.Panic)
+	options  Options
 	// onEra, if not nil, is called after a change of era, without a lock held.
 	onEra func(EraChanged)
 	// together is set if all hosts of the tier start for the first time.
@@ -117,16 +122,40 @@
 	until    time.Time
 }
 
-// NewSyncer returns a Syncer, which does nothing until Start is called. onPanic, if
-// not nil, is called with panics, which then do not end the process.
-func NewSyncer(source Source, peers Peers, routing *rules.Table, instances *fleet.Table, log zerolog.Logger, onPanic func(work.Panic)) *Syncer {
+// Options are the settings of a Syncer.
+type Options struct {
+	// ReportInterval is the time between two reports of a backend server to the store; zero
+	// means 1.2 s.
+	ReportInterval time.Duration
+	// OnPanic, if not nil, is called with the panic of a step, which then counts as a
+	// failed call and does not end the process.
+	OnPanic func(work.Panic)
+}
+
+// expirySilence is the time without an answer of the store from which on registrations may
+// have expired meanwhile.
+func (o Options) expirySilence() time.Duration {
+	return max(minExpirySilence, expiryReports*o.ReportInterval)
+}
+
+// peerSilence is expirySilence for the answers of the store to other hosts.
+func (o Options) peerSilence() time.Duration { return o.expirySilence() + peerDelay }
+
+// rewriteTime is the time after a change of era in which lost versions stay in force.
+func (o Options) rewriteTime() time.Duration {
+	return max(rewriteBound, rewriteReports*o.ReportInterval)
+}
+
+// NewSyncer returns a Syncer, which does nothing until Start is called.
+func NewSyncer(source Source, peers Peers, routing *rules.Table, instances *fleet.Table, log zerolog.Logger, options Options) *Syncer {
+	options.ReportInterval = cmp.Or(options.ReportInterval, defaultReportInterval)
 	return &Syncer{
 		source:   source,
 		peers:    peers,
 		rules:    routing,
 		fleet:    instances,
 		log:      log,
-		onPanic:  onPanic,
+		options:  options,
 		notified: make(chan struct{}, 1),
 		history:  newHistory(),
 		expiring: make(map[string]expiry),
@@ -203,7 +232,7 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		err := errPanicked
-		work.Guard(s.onPanic, func() {
+		work.Guard(s.options.OnPanic, func() {
 			s.removeExpired(time.Now())
 			switch {
 			case !loaded:
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -308,7 +308,7 @@
 	h := &worldHost{world: w, name: name, started: now, wake: make(chan struct{}, 1), rules: rules.NewTable(0), seen: make(map[string]store.Position), lost: make(map[string]Item)}
 	h.fleet = fleet.NewTable(zone, flow.NewTable(name, now))
 	h.table = gossip.NewTable(gossip.Host{Name: name, Zone: zone, Address: name, HeartbeatAddress: name, Weight: 400, Incarnation: uint64(now.UnixNano())}, now)
-	h.syncer = NewSyncer(h, h, h.rules, h.fleet, zerolog.Nop(), nil)
+	h.syncer = NewSyncer(h, h, h.rules, h.fleet, zerolog.Nop(), Options{})
 	h.syncer.history.maxDeleted = w.maxDeleted
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	w.mu.Lock()
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -32,6 +32,8 @@
 	MilliCores int
 	// StoreAddr is the address of the platform's store.
 	StoreAddr string
+	// ReportInterval is the time between two reports of a backend server to the store.
+	ReportInterval time.Duration
 	// Seeds are the peer addresses of hosts from which a starting host may learn
 	// of the others.
 	Seeds []string
@@ -74,7 +76,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory, files and report and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -114,6 +116,7 @@
 	defaultGraceSeconds  = 6
 	defaultWindowSeconds = 10
 	defaultBoundSeconds  = 5
+	defaultReportSeconds = 1.2
 )
 
 // ReadRelay reads and checks a settings file. The error names the file, each
@@ -142,6 +145,7 @@
 	}
 	grace, window := valueOr(decoded.Stop.Grace, defaultGraceSeconds), valueOr(decoded.Budget.Window, defaultWindowSeconds)
 	bound := valueOr(decoded.Accounts.Bound, defaultBoundSeconds)
+	report := valueOr(decoded.Report, defaultReportSeconds)
 	settings := Relay{
 		Name:          decoded.Name,
 		Zone:          decoded.Zone,
@@ -193,6 +197,7 @@
 	maxMemoryMB      = 1 << 20
 	maxDescriptors   = 1 << 20
 	minGraceSeconds  = 1
+	minReportSeconds = 0.01
 	maxBurst         = 1e6
 	maxWindowSeconds = 3600
 )
