--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -161,10 +161,10 @@
 	for _, i := range s.Items {
 		lines = append(lines, formatItem(i))
 	}
-	sort.Strings(lines)
 	for _, i := range s.Lost {
 		lines = append(lines, "lost "+formatItem(i))
 	}
+	sort.Strings(lines)
 	return fmt.Sprintf("revision %s full %t\n%s", s.Position, s.Full, strings.Join(lines, "\n"))
 }
 
