--- a/feed/model_test.go
+++ b/feed/model_test.go
@@ -26,10 +26,13 @@
 // refused calls, dropped histories, kills, restarts and partitions between hosts. The
 // check is the history of the store.
 func TestRandomHistories(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	rapid.Check(t, func(r *rapid.T) {
 		hosts := rapid.SampledFrom([][]string{{"a1@a", "a2@a", "b1@b", "b2@b"}, {"a1@a", "b1@b"}, {"a1@a", "a2@a", "a3@a"}}).Draw(r, "hosts")
 		maxDeleted := rapid.SampledFrom([]int{2, maxDeletions}).Draw(r, "deletions")
 		lines, end := drawTimeline(r, hosts)
+		steps += len(lines)
 		var violations string
 		synctest.Test(t, func(t *testing.T) {
 			w := &world{within: end, maxDeleted: maxDeleted}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -102,6 +102,9 @@
 		if d.HasArg("revision") {
 			i.Position.Revision = uint64(props.Number(t, d, "revision"))
 		}
+		if d.HasArg("era") {
+			i.Position.Era = uint64(props.Number(t, d, "era"))
+		}
 		s.table.Register(i, s.now)
 	}
 	return fmt.Sprintf("%d instances", s.table.Size())
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"hyssophub/store"
+
 	"github.com/cockroachdb/datadriven"
 )
 
@@ -81,8 +83,8 @@
 	case "clear-suspect":
 		s.table.ClearSuspect(d.CmdArgs[0].Key)
 	case "applied":
-		revision, _ := strconv.ParseUint(d.CmdArgs[0].Key, 10, 64)
-		s.table.UpdateSelf(func(r *Record) { r.Position.Revision = revision })
+		position := parsePosition(d.CmdArgs[0].Key)
+		s.table.UpdateSelf(func(r *Record) { r.Position = position })
 	}
 	return s.show()
 }
@@ -105,7 +107,7 @@
 			r.StoreContact = s.now.Add(-duration(t, value))
 			r.Watching = true
 		case "revision":
-			r.Position.Revision, _ = strconv.ParseUint(value, 10, 64)
+			r.Position = parsePosition(value)
 		case "incarnation":
 			r.Incarnation, _ = strconv.ParseUint(value, 10, 64)
 		case "beat":
@@ -119,6 +121,16 @@
 	return r
 }
 
+// parsePosition reads a position in the format REVISION or ERA.REVISION.
+func parsePosition(text string) store.Position {
+	var p store.Position
+	if _, err := fmt.Sscanf(text, "%d.%d", &p.Era, &p.Revision); err != nil {
+		p = store.Position{}
+		p.Revision, _ = strconv.ParseUint(text, 10, 64)
+	}
+	return p
+}
+
 // names returns the names of hosts in alphabetical order.
 func names(records []Record) []string {
 	var list []string
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"hyssophub/feed"
 	"hyssophub/peer/peerpb"
 	"hyssophub/shard"
+	"hyssophub/store"
 )
 
 // BenchmarkCatalogs measures the response to one List call by the number of
@@ -40,3 +43,32 @@
 		})
 	}
 }
+
+// BenchmarkFullState measures the answer with the full state, which a host fetches at its
+// start and after a change of era, by the number of registered backend servers, which is
+// 4,400 at the design size.
+func BenchmarkFullState(b *testing.B) {
+	for _, servers := range []int{440, 4400} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			update := feed.Update{Position: store.Position{Era: 1, Revision: 1 << 20}, Full: true}
+			for i := range servers {
+				update.Items = append(update.Items, feed.Item{
+					Key:      fmt.Sprintf("servers/i-%010x", i),
+					Value:    fmt.Appendf(nil, `{"Service":"service-%04d","Addr":"10.%d.%d.%d:8000","Zone":"zone-%d","Version":"v1","Slots":2,"State":"ready","ColdLeftMs":0,"Seq":%d,"born":1765057000000}`, i/3, i>>16, i>>8&255, i&255, i%9, i),
+					Position: store.Position{Era: 1, Revision: uint64(i + 1)},
+				})
+			}
+			var size int
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := proto.Marshal(encodeUpdate(update))
+				require.NoError(b, err)
+				var msg peerpb.ChangesReply
+				require.NoError(b, proto.Unmarshal(data, &msg))
+				decodeUpdate(&msg, time.Now())
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/answer")
+		})
+	}
+}
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -12,6 +12,7 @@
 
 	"hyssophub/fault"
 	"hyssophub/feed"
+	"hyssophub/peer/peerpb"
 	"hyssophub/relay"
 	"hyssophub/store"
 )
@@ -126,3 +127,27 @@
 	_, err = c.Collect(context.Background(), strings.TrimPrefix(broken.URL, "http://"), testRequest())
 	require.Equal(t, fault.MayHaveRun{}, fault.VerdictOf(err))
 }
+
+// TestChangesForBuildWithoutEras guards against a host of the build before that gets the
+// full state for each change of a store that names eras: it names none.
+func TestChangesForBuildWithoutEras(t *testing.T) {
+	h := &positionRecorder{}
+	_, err := (&relayServer{handler: h}).Changes(t.Context(), &peerpb.ChangesRequest{After: 7})
+	require.NoError(t, err)
+	require.Equal(t, store.Position{Era: feed.PresentEra, Revision: 7}, h.after)
+	era := uint64(0)
+	_, err = (&relayServer{handler: h}).Changes(t.Context(), &peerpb.ChangesRequest{After: 7, Era: &era})
+	require.NoError(t, err)
+	require.Equal(t, store.Position{Revision: 7}, h.after)
+}
+
+// positionRecorder records the position of the last request for changes.
+type positionRecorder struct {
+	stubHandler
+	after store.Position
+}
+
+func (r *positionRecorder) ChangesAfter(position store.Position) feed.Update {
+	r.after = position
+	return feed.Update{}
+}
