--- a/feed/apply.go
+++ b/feed/apply.go
@@ -72,65 +72,6 @@
 	return change, nil
 }
 
-// applyLost takes over what another host of the same era knows of its beginning: when it
-// was, and which versions are in force that the store has lost.
-func (s *Syncer) applyLost(update Update, now time.Time) {
-	for _, item := range s.history.learn(update.Era) {
-		s.applyChange(item, now)
-	}
-	if !s.holdsLost(now) {
-		return
-	}
-	for _, item := range update.Lost {
-		if !s.history.holdFrom(item) {
-			continue
-		}
-		// The table may hold the registration that the store has, at a newer position.
-		if removed, ok := s.decode(Item{Key: item.Key, Deleted: true}).(ServerRemoved); ok {
-			s.fleet.Remove(removed.ID, s.history.lost[item.Key].Position)
-		}
-		s.applyChange(item, now)
-	}
-}
-
-// holdsLost reports whether versions that the store has lost stay in force.
-func (s *Syncer) holdsLost(now time.Time) bool {
-	since := s.history.era.Since
-	return since.IsZero() || now.Sub(since) < s.options.rewriteTime()
-}
-
-// lostUntil returns the time until which a lost version stays in force. Servers whose
-// registrations are missing have the time that they have after an outage.
-func (s *Syncer) lostUntil(key string) time.Time {
-	since := s.history.era.Since
-	if _, isServer := s.decode(Item{Key: key, Deleted: true}).(ServerRemoved); !isServer || !s.history.lost[key].Deleted {
-		return since.Add(s.options.rewriteTime())
-	}
-	if s.recoveredAt.After(since) {
-		since = s.recoveredAt
-	}
-	return since.Add(renewalGrace)
-}
-
-// releaseLost ends the force of versions that were not written again in time. Nobody can
-// write them while the store does not answer, so none is released then.
-func (s *Syncer) releaseLost(now time.Time, isFailing bool) {
-	released, keys := 0, zerolog.Arr()
-	for key := range s.history.lost {
-		until := s.lostUntil(key)
-		if now.Before(until) || (isFailing && s.heardAt.Before(until)) {
-			continue
-		}
-		s.applyChange(s.history.release(key), now)
-		if released++; released <= maxLoggedKeys {
-			keys.Str(key)
-		}
-	}
-	if released > 0 {
-		s.log.Warn().Int("entries", released).Array("keys", keys).Stringer("position", s.history.position).Msg("entries lost by the store were not written again, its content is in force")
-	}
-}
-
 // recordContact records that the store answered. After a silence in which registrations
 // may have expired, their servers have renewalGrace from now on. A shorter silence, as
 // of a watch that was cut, extends no grace period.
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -133,54 +132,6 @@
 	}
 }
 
-// rewriteDelay is the time after which what a drill has lost is written again.
-const rewriteDelay = 1500 * time.Millisecond
-
-// drill brings the store back without its last changes, which the operator and the
-// backend servers write again later.
-func (w *world) drill(t *testing.T, lost string) {
-	number, err := strconv.Atoi(lost)
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.mu.Lock()
-	hosts := slices.Collect(maps.Values(w.hosts))
-	// A version that came back in an earlier drill is not written again.
-	written := slices.DeleteFunc(w.store.content(), func(i Item) bool { return !i.isEqual(w.intended[i.Key]) })
-	w.mu.Unlock()
-	inForce := make(map[*worldHost][]Item)
-	for _, h := range hosts {
-		for _, item := range written {
-			// Hosts that keep few deletions may forget one before the drill.
-			if (!item.Deleted || w.maxDeleted == maxDeletions) && h.knows(item) && h.obeys(item) {
-				inForce[h] = append(inForce[h], item)
-			}
-		}
-	}
-	w.store.drill(number)
-	w.mu.Lock()
-	for h, known := range inForce {
-		for _, item := range known {
-			if !w.store.holds(item) {
-				h.lost[item.Key] = item
-			}
-		}
-	}
-	w.mu.Unlock()
-	w.checks.Go(func() {
-		time.Sleep(rewriteDelay)
-		w.mu.Lock()
-		intended := slices.Collect(maps.Values(w.intended))
-		w.mu.Unlock()
-		slices.SortFunc(intended, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
-		for _, item := range intended {
-			if !w.store.holds(item) {
-				w.write([]Item{item})
-			}
-		}
-	})
-}
-
 // write writes items to the store and begins to check that the hosts follow.
 func (w *world) write(list []Item) {
 	w.mu.Lock()
@@ -220,22 +171,6 @@
 	})
 }
 
-// holdPoll is the time between checks whether a host holds a version that the store lost.
-const holdPoll = 100 * time.Millisecond
-
-// isHeld reports whether a host holds another version of an item, which the store has lost.
-func (w *world) isHeld(item Item) bool {
-	w.mu.Lock()
-	hosts := slices.Collect(maps.Values(w.hosts))
-	w.mu.Unlock()
-	return slices.ContainsFunc(hosts, func(h *worldHost) bool {
-		h.syncer.mu.Lock()
-		defer h.syncer.mu.Unlock()
-		_, isHeld := h.syncer.history.lost[item.Key]
-		return isHeld
-	})
-}
-
 // followed is the result of a timeline without violations.
 const followed = "all hosts followed"
 
@@ -408,41 +343,6 @@
 	}
 }
 
-// checkLost records a change that is no longer in force because the store has lost it.
-func (h *worldHost) checkLost(now time.Time) {
-	h.world.mu.Lock()
-	var undone []string
-	for key, item := range h.lost {
-		if !h.obeys(item) {
-			undone = append(undone, formatItem(item))
-			delete(h.lost, key)
-		}
-	}
-	h.world.mu.Unlock()
-	for _, item := range undone {
-		h.world.violate("%s undid %s at %s", h.name, item, now.Sub(h.world.start))
-	}
-}
-
-// knows reports whether the host has the newest version of an item.
-func (h *worldHost) knows(item Item) bool {
-	h.syncer.mu.Lock()
-	defer h.syncer.mu.Unlock()
-	held, ok := h.syncer.history.items[item.Key]
-	return ok && held.Position.Revision == item.Position.Revision && !held.MayReturn && bytes.Equal(held.Value, item.Value)
-}
-
-// obeys reports whether the content of an item is in force on the host.
-func (h *worldHost) obeys(item Item) bool {
-	kind, name, _ := strings.Cut(item.Key, "/")
-	if kind != "server" {
-		return h.has(item)
-	}
-	instances := h.fleet.Instances()
-	at := slices.IndexFunc(instances, func(i fleet.Instance) bool { return i.ID == name })
-	return item.Deleted == (at < 0) && (at < 0 || instances[at].State == stateOf(item))
-}
-
 func (w *world) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
