Send hosts of the era before what differs

A host that followed the era before now gets the items that the change of era has changed, and those written since.

--- a/feed/apply.go
+++ b/feed/apply.go
@@ -41,6 +41,9 @@
 		return change, errEarlierEra
 	}
 	isNewEra := update.Position.Era > before.Era
+	if isNewEra && update.Differs && !s.history.complement(&update) {
+		return change, errNotCovered
+	}
 	if isNewEra && !update.Full {
 		return change, ErrEraChanged
 	}
--- a/feed/change.go
+++ b/feed/change.go
@@ -92,6 +92,9 @@
 	Position store.Position
 	// Full means that Items is the whole content of the store, not only changes.
 	Full bool
+	// Differs means that Items are those that differ from the state at the position of the
+	// request, which is of an earlier era, deletions included.
+	Differs bool
 	// Era is the beginning of the era, and Lost holds the versions that the store has
 	// lost with the era before and that are still in force. Only hosts set them.
 	Era  Era
@@ -116,6 +119,9 @@
 // errEarlierEra means that an answer of the store is of an era that has passed.
 var errEarlierEra = errors.New("feed: answer is of an earlier era of the store")
 
+// errNotCovered means that what differs from an earlier era does not yield the full state.
+var errNotCovered = errors.New("feed: changes do not cover what is known")
+
 // Source reads the store. Every error other than ErrCompacted, ErrUnreadable and
 // ErrEraChanged means that the store did not answer.
 type Source interface {
--- a/feed/eras.go
+++ b/feed/eras.go
@@ -12,7 +12,7 @@
 // has lost stay in force until it has them written again, if holds is set. enter returns
 // deletions of the other items that it lacks.
 func (h *history) enter(update Update, now time.Time, holds bool) []Item {
-	before, previous := h.items, h.position
+	before, previous, changed := h.items, h.position, newMoved(h, update)
 	if update.Era.Before > previous.Era {
 		// Another host that has read an era which this one has missed knows the order of the
 		// changes there, and which of them are lost.
@@ -20,7 +20,7 @@
 	}
 	*h = history{
 		items: make(map[string]Item, len(update.Items)), lost: make(map[string]Item), maxDeleted: h.maxDeleted,
-		since: update.Position, position: update.Position, previous: previous, era: update.Era,
+		since: update.Position, position: update.Position, previous: previous, moved: changed, era: update.Era,
 	}
 	h.era.Before = max(h.era.Before, previous.Era)
 	if h.era.Start == 0 {
--- a/feed/history.go
+++ b/feed/history.go
@@ -37,6 +37,8 @@
 	position store.Position
 	// previous is the position at the end of the era before, as far as this host read it.
 	previous store.Position
+	// moved tells what the change of era has changed, for hosts that have not followed it.
+	moved moved
 	// era is what is known of the beginning of the present era.
 	era Era
 	// lost holds, by key, what the store has in place of the lost versions in force.
@@ -183,6 +185,10 @@
 		}
 		return update
 	}
+	if h.moved.covers(position, h) {
+		update.Differs, update.Items = true, h.moved.differing(position, h)
+		return update
+	}
 	update.Full = true
 	for key, item := range h.items {
 		if current, isLost := h.lost[key]; isLost {
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -360,7 +360,13 @@
 	if err != nil {
 		return
 	}
-	_ = s.apply(update, fromPeer, time.Now())
+	err = s.apply(update, fromPeer, time.Now())
+	if !errors.Is(err, errNotCovered) {
+		return
+	}
+	if update, err = s.peerChanges(ctx, address, store.Position{}); err == nil {
+		_ = s.apply(update, fromPeer, time.Now())
+	}
 }
 
 // peerChanges asks a host for the changes after a position, and marks the host as
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -69,7 +69,7 @@
 
 func encodeUpdate(update feed.Update) *peerpb.ChangesReply {
 	reply := &peerpb.ChangesReply{
-		Revision: update.Position.Revision, Era: update.Position.Era, Whole: update.Full, Start: update.Era.Start, Before: update.Era.Before,
+		Revision: update.Position.Revision, Era: update.Position.Era, Whole: update.Full, Differs: update.Differs, Start: update.Era.Start, Before: update.Era.Before,
 		Items: encodeItems(update.Items, update.Position.Era), Lost: encodeItems(update.Lost, update.Position.Era),
 	}
 	if !update.CheckedAt.IsZero() {
@@ -96,7 +96,7 @@
 
 func decodeUpdate(msg *peerpb.ChangesReply, now time.Time) feed.Update {
 	update := feed.Update{
-		Position: store.Position{Era: msg.GetEra(), Revision: msg.GetRevision()}, Full: msg.GetWhole(), Era: feed.Era{Start: msg.GetStart(), Before: msg.GetBefore()},
+		Position: store.Position{Era: msg.GetEra(), Revision: msg.GetRevision()}, Full: msg.GetWhole(), Differs: msg.GetDiffers(), Era: feed.Era{Start: msg.GetStart(), Before: msg.GetBefore()},
 		Items: decodeItems(msg.GetItems(), msg.GetEra()), Lost: decodeItems(msg.GetLost(), msg.GetEra()),
 	}
 	if checked := msg.GetChecked(); checked > 0 {
