Keep the revision of a deletion through a change of era

A deletion that the first of two drills kept was lost in the second, and the server was in use again: the deletion had got revision 0 (TestRandomHistories, once in about 3,000 timelines with several drills).

--- a/feed/eras.go
+++ b/feed/eras.go
@@ -39,7 +39,9 @@
 		_, ok := h.items[key]
 		switch {
 		case !ok && item.Deleted:
-			h.put(Item{Key: key, Position: missing, Deleted: true, MayReturn: item.MayReturn})
+			// A further change of era may lose the deletion.
+			at := store.Position{Era: missing.Era, Revision: min(item.Position.Revision, update.Position.Revision)}
+			h.put(Item{Key: key, Position: at, Deleted: true, MayReturn: item.MayReturn})
 		case !ok && !holds:
 			deletion := Item{Key: key, Position: missing, Deleted: true, MayReturn: true}
 			h.put(deletion)
