--- a/feed/apply.go
+++ b/feed/apply.go
@@ -21,31 +21,18 @@
 // apply applies an update to the history and to the tables. Updates of an earlier era are
 // not applied, and changes of a later one only after its full state.
 func (s *Syncer) apply(update Update, from origin, now time.Time) error {
-	change, err := s.applyLocked(update, from, now)
-	if change.From != change.To {
-		s.log.Warn().Uint64("from", change.From).Uint64("to", change.To).Stringer("position", update.Position).Msg("era of the store has changed")
-		if s.onEra != nil {
-			s.onEra(change)
-		}
-	}
-	return err
-}
-
-func (s *Syncer) applyLocked(update Update, from origin, now time.Time) (EraChanged, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.history.position
-	isFirst := before == store.Position{}
-	change := EraChanged{From: before.Era, To: before.Era}
 	if update.Position.Era < before.Era {
-		return change, errEarlierEra
+		return errEarlierEra
 	}
 	isNewEra := update.Position.Era > before.Era
 	if isNewEra && update.Differs && !s.history.complement(&update) {
-		return change, errNotCovered
+		return errNotCovered
 	}
 	if isNewEra && !update.Full {
-		return change, ErrEraChanged
+		return ErrEraChanged
 	}
 	contact := time.Time{}
 	if from == fromStore {
@@ -63,16 +50,13 @@
 	s.applyLost(update, now)
 	if isNewEra {
 		s.progress = update.Position.Revision
-		if !isFirst {
-			change.To = update.Position.Era
-		}
 	}
 	s.progress = max(s.progress, update.Position.Revision)
 	s.reportApplied(contact)
 	if s.history.position.IsAfter(before) && from == fromStore {
 		s.peers.Announce()
 	}
-	return change, nil
+	return nil
 }
 
 // recordContact records that the store answered. After a silence in which registrations
@@ -232,6 +216,12 @@
 	var removed []Item
 	if update.Position.Era > s.history.position.Era {
 		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < s.options.rewriteTime()
+		if known := s.history.position; known.Revision > 0 {
+			s.log.Warn().Uint64("from", known.Era).Stringer("position", update.Position).Msg("era of the store has changed")
+			if s.rollouts != nil {
+				s.rollouts.EnterEra()
+			}
+		}
 		removed = s.history.enter(update, now, holds)
 		s.restartGrace(now)
 	} else {
--- a/feed/change.go
+++ b/feed/change.go
@@ -82,10 +82,6 @@
 	Before uint64
 }
 
-// EraChanged means that the store came back from an older copy, and that this host has
-// read its state.
-type EraChanged struct{ From, To uint64 }
-
 // Update is the content of the store at a position, or the changes up to it.
 type Update struct {
 	Items    []Item
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -75,8 +75,6 @@
 	rollouts *canary.Table
 	log      zerolog.Logger
 	options  Options
-	// onEra, if not nil, is called after a change of era, without a lock held.
-	onEra func(EraChanged)
 	// together is set if all hosts of the tier start for the first time.
 	together bool
 	// notified wakes followPeers after a notification from a peer.
@@ -162,11 +160,6 @@
 	}
 }
 
-// OnEraChange sets the function that is called, before the next step of the Syncer, once a
-// change of era is applied. Whoever wrote to the store writes it again then. It must be set
-// before Start.
-func (s *Syncer) OnEraChange(f func(EraChanged)) { s.onEra = f }
-
 // Start starts the goroutine that keeps the tables up to date. together says that all
 // hosts of the tier start for the first time, so that none has a state yet and nobody
 // waits for them.
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -94,6 +94,7 @@
 	Seeds  []string `json:"seeds"`
 	Memory int      `json:"memory"`
 	Files  int      `json:"files"`
+	Report *float64 `json:"report"`
 	First  bool     `json:"first"`
 	Stop   struct {
 		Grace *float64 `json:"grace"`
@@ -155,12 +156,13 @@
 		MetricsAddr:   decoded.Stats,
 		HeartbeatAddr: decoded.Beat,
 		// The ports of TCP and UDP are separate, so the default is free.
-		PermitAddr: cmp.Or(decoded.Permit, decoded.Stats),
-		MilliCores: int(decoded.Cores * 1000),
-		StoreAddr:  decoded.Store,
-		Seeds:      decoded.Seeds,
-		Together:   decoded.First,
-		MemoryMB:   decoded.Memory,
+		PermitAddr:     cmp.Or(decoded.Permit, decoded.Stats),
+		MilliCores:     int(decoded.Cores * 1000),
+		StoreAddr:      decoded.Store,
+		ReportInterval: seconds(report),
+		Seeds:          decoded.Seeds,
+		Together:       decoded.First,
+		MemoryMB:       decoded.Memory,
 
 		Descriptors: decoded.Files,
 		Stop:        RelayStop{Grace: seconds(grace)},
@@ -179,6 +181,7 @@
 	}
 	errs = append(errs,
 		checkRange("cores", decoded.Cores, minCores, maxCores),
+		checkRange("report", report, minReportSeconds, maxWindowSeconds),
 		checkRange("memory", float64(decoded.Memory), 0, maxMemoryMB),
 		checkRange("files", float64(decoded.Files), 0, maxDescriptors),
 		checkRange("stop.grace", grace, minGraceSeconds, maxStopLimit.Seconds()),
--- a/setup/relay_test.go
+++ b/setup/relay_test.go
@@ -56,6 +56,7 @@
 			require.Equal(t, 192, settings.MilliCores)
 			require.Equal(t, 6*time.Second, settings.Stop.Grace)
 			require.Equal(t, RelayBudget{Ratio: 0.2, Burst: 58, Window: 10 * time.Second}, settings.Budget)
+			require.Equal(t, 1200*time.Millisecond, settings.ReportInterval)
 		})
 	}
 }
