--- a/feed/apply.go
+++ b/feed/apply.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"hyssophub/rules"
+	"hyssophub/store"
 	"hyssophub/work"
 )
 
@@ -17,11 +18,22 @@
 	fromPeer
 )
 
-// apply applies an update to the history and to the tables.
-func (s *Syncer) apply(update Update, from origin, now time.Time) {
+// apply applies an update to the history and to the tables. Updates of an earlier era are
+// not applied, and changes of a later one only after its full state.
+func (s *Syncer) apply(update Update, from origin, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.history.revision
+	before := s.history.position
+	if update.Position.Era < before.Era {
+		return errEarlierEra
+	}
+	isNewEra := update.Position.Era > before.Era
+	if isNewEra && update.Differs && !s.history.complement(&update) {
+		return errNotCovered
+	}
+	if isNewEra && !update.Full {
+		return ErrEraChanged
+	}
 	contact := time.Time{}
 	if from == fromStore {
 		contact = now
@@ -35,11 +47,16 @@
 		s.applyChanges(update, from, now)
 		s.caughtUp = true
 	}
-	s.progress = max(s.progress, update.Revision)
+	s.applyLost(update, now)
+	if isNewEra {
+		s.progress = update.Position.Revision
+	}
+	s.progress = max(s.progress, update.Position.Revision)
 	s.reportApplied(contact)
-	if s.history.revision > before && from == fromStore {
+	if s.history.position.IsAfter(before) && from == fromStore {
 		s.peers.Announce()
 	}
+	return nil
 }
 
 // recordContact records that the store answered. After a silence in which registrations
@@ -48,12 +65,12 @@
 func (s *Syncer) recordContact(update Update, now time.Time) {
 	if !s.failingSince.IsZero() {
 		silence := now.Sub(s.answeredAt)
-		line := s.log.Info().Dur("lost_for", now.Sub(s.failingSince)).Int("in_doubt", len(s.expiring)).Uint64("revision", update.Revision)
+		line := s.log.Info().Dur("lost_for", now.Sub(s.failingSince)).Int("in_doubt", len(s.expiring)).Stringer("position", update.Position)
 		if !s.answeredAt.IsZero() {
 			line.Dur("silence", silence)
 		}
 		line.Msg("store reachable again")
-		if silence >= expirySilence {
+		if silence >= s.options.expirySilence() {
 			s.recoveredAt = now
 			s.restartGrace(now)
 		}
@@ -68,7 +85,8 @@
 // reportApplied reports to peers what this host has applied. contact is the time of
 // the store's answer; zero if the store did not answer.
 func (s *Syncer) reportApplied(contact time.Time) {
-	s.peers.ReportApplied(s.history.revision, max(s.progress, s.history.revision), s.watching, contact)
+	position := s.history.position
+	s.peers.ReportApplied(position, max(s.progress, position.Revision)-position.Revision, s.watching, contact)
 }
 
 // applyChanges applies the changes of an update in order. Deletions from the store
@@ -84,21 +102,21 @@
 	}
 	mayReturn := from == fromStore && (removed >= massExpiryMin || (!s.recoveredAt.IsZero() && now.Sub(s.recoveredAt) < renewalGrace))
 	var applied []Item
-	newest := uint64(0)
+	var newest store.Position
 	for _, item := range update.Items {
 		item.MayReturn = item.Deleted && (item.MayReturn || mayReturn)
 		if s.history.add(item) {
 			s.applyChange(item, now)
 			applied = append(applied, item)
 		}
-		if item.Revision <= update.Revision {
-			newest = max(newest, item.Revision)
+		if !item.Position.IsAfter(update.Position) {
+			newest = store.Later(newest, item.Position)
 		}
 	}
 	if from == fromPeer {
-		newest = update.Revision
+		newest = update.Position
 	}
-	// The revision that other hosts learn is that of the newest change up to which this
+	// The position that other hosts learn is that of the newest change up to which this
 	// host knows all, whether the item was known before, from a page that was read after
 	// the change, or not.
 	s.history.complete(newest)
@@ -127,7 +145,7 @@
 		}
 	}
 	s.log.Info().Int("entries", len(items)).Int("gone", removed).Int("may_return", mayReturn).Array("keys", keys).
-		Uint64("revision", s.history.revision).Msg("entries changed in the store")
+		Stringer("position", s.history.position).Msg("entries changed in the store")
 }
 
 // applyChange applies one item to the tables. A registration that may return stays
@@ -142,20 +160,20 @@
 			if view := s.rules.View(); !c.Out && view != nil {
 				s.fleet.MarkZoneCold(view, c.Zone, now)
 			}
-			s.log.Info().Str("zone", c.Zone).Bool("out", c.Out).Uint64("revision", item.Revision).Msg("availability zone changed")
+			s.log.Info().Str("zone", c.Zone).Bool("out", c.Out).Stringer("position", item.Position).Msg("availability zone changed")
 		}
 	case ServerRegistered:
 		delete(s.expiring, c.Instance.ID)
 		s.fleet.Register(c.Instance, now)
 	case ServerRemoved:
 		if item.MayReturn {
-			s.expiring[c.ID] = expiry{revision: c.Revision, until: now.Add(renewalGrace)}
+			s.expiring[c.ID] = expiry{key: item.Key, position: c.Position, until: now.Add(renewalGrace)}
 			return
 		}
-		s.fleet.Remove(c.ID, c.Revision)
+		s.fleet.Remove(c.ID, c.Position)
 	case Malformed:
 		s.malformed++
-		s.fleet.Remove(c.ID, c.Revision)
+		s.fleet.Remove(c.ID, c.Position)
 		s.log.Warn().Str("key", c.Key).Err(c.Err).Msg("malformed store entry ignored")
 	default:
 		s.applyRollout(c, now)
@@ -167,16 +185,16 @@
 func (s *Syncer) decode(item Item) Change {
 	var change Change
 	completed := false
-	work.Guard(s.onPanic, func() {
+	work.Guard(s.options.OnPanic, func() {
 		change = s.source.Decode(item)
 		completed = true
 	})
 	if completed {
 		return change
 	}
-	malformed := Malformed{Key: item.Key, Revision: item.Revision, Err: errPanicked}
-	work.Guard(s.onPanic, func() {
-		if removed, ok := s.source.Decode(Item{Key: item.Key, Revision: item.Revision, Deleted: true}).(ServerRemoved); ok {
+	malformed := Malformed{Key: item.Key, Position: item.Position, Err: errPanicked}
+	work.Guard(s.options.OnPanic, func() {
+		if removed, ok := s.source.Decode(Item{Key: item.Key, Position: item.Position, Deleted: true}).(ServerRemoved); ok {
 			malformed.ID = removed.ID
 		}
 	})
@@ -195,18 +213,31 @@
 // it lacks may have expired during an outage, so they stay in use for
 // renewalGrace.
 func (s *Syncer) applyFull(update Update, now time.Time) {
-	removed := s.history.replace(update)
+	var removed []Item
+	if update.Position.Era > s.history.position.Era {
+		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < s.options.rewriteTime()
+		if known := s.history.position; known.Revision > 0 {
+			s.log.Warn().Uint64("from", known.Era).Stringer("position", update.Position).Msg("era of the store has changed")
+			if s.rollouts != nil {
+				s.rollouts.EnterEra()
+			}
+		}
+		removed = s.history.enter(update, now, holds)
+		s.restartGrace(now)
+	} else {
+		removed = s.history.replace(update)
+	}
 	for _, item := range update.Items {
-		// Items that the history holds in a newer revision are skipped. The tables
-		// ignore what they already hold.
-		if s.history.items[item.Key].Revision == item.Revision {
+		// Items that the history holds in a newer version are skipped. The tables
+		// ignore what they already hold. The history may have dropped a deletion already.
+		if held, ok := s.history.items[item.Key]; held.Position == item.Position || (!ok && item.Deleted) {
 			s.applyChange(item, now)
 		}
 	}
 	for _, item := range removed {
 		s.applyChange(item, now)
 	}
-	s.log.Info().Uint64("revision", update.Revision).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
+	s.log.Info().Stringer("position", update.Position).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
 }
 
 // removeExpired removes the registrations that were not renewed within renewalGrace. No
@@ -219,13 +250,15 @@
 	if isFailing {
 		s.recordPeerContact(now)
 	}
+	s.releaseLost(now, isFailing)
 	removed, keys := 0, zerolog.Arr()
 	for id, e := range s.expiring {
 		if now.Before(e.until) || (isFailing && s.heardAt.Before(e.until)) {
 			continue
 		}
 		delete(s.expiring, id)
-		s.fleet.Remove(id, e.revision)
+		s.fleet.Remove(id, e.position)
+		s.history.settle(e.key, e.position)
 		if removed++; removed <= maxLoggedKeys {
 			keys.Str(id)
 		}
@@ -239,11 +272,11 @@
 // newer, while it does not answer this one. If it answered none of them for peerSilence,
 // registrations may have expired, and the grace periods start again.
 func (s *Syncer) recordPeerContact(now time.Time) {
-	checked := s.peers.CheckedAt(s.history.revision)
+	checked := s.peers.CheckedAt(s.history.position)
 	if !checked.After(s.heardAt) {
 		return
 	}
-	if checked.Sub(s.heardAt) >= peerSilence {
+	if checked.Sub(s.heardAt) >= s.options.peerSilence() {
 		s.restartGrace(now)
 	}
 	s.heardAt = checked
@@ -253,6 +286,6 @@
 // renewalGrace from now on.
 func (s *Syncer) restartGrace(now time.Time) {
 	for id, e := range s.expiring {
-		s.expiring[id] = expiry{revision: e.revision, until: now.Add(renewalGrace)}
+		s.expiring[id] = expiry{key: e.key, position: e.position, until: now.Add(renewalGrace)}
 	}
 }
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -12,7 +12,9 @@
 
 	"hyssophub/fault"
 	"hyssophub/feed"
+	"hyssophub/peer/peerpb"
 	"hyssophub/relay"
+	"hyssophub/store"
 )
 
 // stubHandler answers with fixed values and records the last request.
@@ -31,7 +33,7 @@
 func (s *stubHandler) CollectMore(context.Context, uint64) (relay.PartialResult, error) {
 	return s.result, s.err
 }
-func (s *stubHandler) ChangesAfter(uint64) feed.Update { return s.update }
+func (s *stubHandler) ChangesAfter(store.Position) feed.Update { return s.update }
 
 func startHandler(t *testing.T, s *stubHandler) string {
 	t.Helper()
@@ -67,8 +69,8 @@
 			Token:   9,
 		},
 		update: feed.Update{
-			Items:    []feed.Item{{Key: "k", Value: []byte("v"), Revision: 3}, {Key: "l", Revision: 4, Deleted: true, MayReturn: true}},
-			Revision: 4,
+			Items:    []feed.Item{{Key: "k", Value: []byte("v"), Position: store.Position{Era: 2, Revision: 3}}, {Key: "l", Position: store.Position{Era: 2, Revision: 4}, Deleted: true, MayReturn: true}},
+			Position: store.Position{Era: 2, Revision: 4},
 			Full:     true,
 		},
 	}
@@ -82,7 +84,7 @@
 	result, err = c.CollectMore(context.Background(), address, 9)
 	require.NoError(t, err)
 	require.Equal(t, s.result, result)
-	update, err := c.Changes(context.Background(), address, 0)
+	update, err := c.Changes(context.Background(), address, store.Position{})
 	require.NoError(t, err)
 	require.Equal(t, s.update, update)
 }
@@ -125,3 +127,27 @@
 	_, err = c.Collect(context.Background(), strings.TrimPrefix(broken.URL, "http://"), testRequest())
 	require.Equal(t, fault.MayHaveRun{}, fault.VerdictOf(err))
 }
+
+// TestChangesForBuildWithoutEras guards against a host of the build before that gets the
+// full state for each change of a store that names eras: it names none.
+func TestChangesForBuildWithoutEras(t *testing.T) {
+	h := &positionRecorder{}
+	_, err := (&relayServer{handler: h}).Changes(t.Context(), &peerpb.ChangesRequest{After: 7})
+	require.NoError(t, err)
+	require.Equal(t, store.Position{Era: feed.PresentEra, Revision: 7}, h.after)
+	era := uint64(0)
+	_, err = (&relayServer{handler: h}).Changes(t.Context(), &peerpb.ChangesRequest{After: 7, Era: &era})
+	require.NoError(t, err)
+	require.Equal(t, store.Position{Revision: 7}, h.after)
+}
+
+// positionRecorder records the position of the last request for changes.
+type positionRecorder struct {
+	stubHandler
+	after store.Position
+}
+
+func (r *positionRecorder) ChangesAfter(position store.Position) feed.Update {
+	r.after = position
+	return feed.Update{}
+}
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -32,6 +32,8 @@
 	MilliCores int
 	// StoreAddr is the address of the platform's store.
 	StoreAddr string
+	// ReportInterval is the time between two reports of a backend server to the store.
+	ReportInterval time.Duration
 	// Seeds are the peer addresses of hosts from which a starting host may learn
 	// of the others.
 	Seeds []string
@@ -74,7 +76,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory, files and report and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -92,6 +94,7 @@
 	Seeds  []string `json:"seeds"`
 	Memory int      `json:"memory"`
 	Files  int      `json:"files"`
+	Report *float64 `json:"report"`
 	First  bool     `json:"first"`
 	Stop   struct {
 		Grace *float64 `json:"grace"`
@@ -114,6 +117,7 @@
 	defaultGraceSeconds  = 6
 	defaultWindowSeconds = 10
 	defaultBoundSeconds  = 5
+	defaultReportSeconds = 1.2
 )
 
 // ReadRelay reads and checks a settings file. The error names the file, each
@@ -142,6 +146,7 @@
 	}
 	grace, window := valueOr(decoded.Stop.Grace, defaultGraceSeconds), valueOr(decoded.Budget.Window, defaultWindowSeconds)
 	bound := valueOr(decoded.Accounts.Bound, defaultBoundSeconds)
+	report := valueOr(decoded.Report, defaultReportSeconds)
 	settings := Relay{
 		Name:          decoded.Name,
 		Zone:          decoded.Zone,
@@ -151,12 +156,13 @@
 		MetricsAddr:   decoded.Stats,
 		HeartbeatAddr: decoded.Beat,
 		// The ports of TCP and UDP are separate, so the default is free.
-		PermitAddr: cmp.Or(decoded.Permit, decoded.Stats),
-		MilliCores: int(decoded.Cores * 1000),
-		StoreAddr:  decoded.Store,
-		Seeds:      decoded.Seeds,
-		Together:   decoded.First,
-		MemoryMB:   decoded.Memory,
+		PermitAddr:     cmp.Or(decoded.Permit, decoded.Stats),
+		MilliCores:     int(decoded.Cores * 1000),
+		StoreAddr:      decoded.Store,
+		ReportInterval: seconds(report),
+		Seeds:          decoded.Seeds,
+		Together:       decoded.First,
+		MemoryMB:       decoded.Memory,
 
 		Descriptors: decoded.Files,
 		Stop:        RelayStop{Grace: seconds(grace)},
@@ -175,6 +181,7 @@
 	}
 	errs = append(errs,
 		checkRange("cores", decoded.Cores, minCores, maxCores),
+		checkRange("report", report, minReportSeconds, maxWindowSeconds),
 		checkRange("memory", float64(decoded.Memory), 0, maxMemoryMB),
 		checkRange("files", float64(decoded.Files), 0, maxDescriptors),
 		checkRange("stop.grace", grace, minGraceSeconds, maxStopLimit.Seconds()),
@@ -193,6 +200,7 @@
 	maxMemoryMB      = 1 << 20
 	maxDescriptors   = 1 << 20
 	minGraceSeconds  = 1
+	minReportSeconds = 0.01
 	maxBurst         = 1e6
 	maxWindowSeconds = 3600
 )
