Report collected parts early and give collectors their share

Change: a collection with missing parts reports once before the answer is due; exchanges that lost are cancelled; collectors hold a greater share of the burst and the connections; groups are assigned by jump consistent hashing. Log lines of collections say why a part got no further exchange. Requests of clients with accounts and collections pass admission, and CollectRequest names the account.

--- a/daemon/collect.go
+++ b/daemon/collect.go
@@ -28,13 +28,28 @@
 func (h relayHandler) logMissing(request relay.CollectRequest, partial relay.PartialResult) {
 	missingParts := zerolog.Arr()
 	for _, m := range partial.Missing[:min(len(partial.Missing), maxPartsLogged)] {
-		missingParts.Dict(zerolog.Dict().Str("service", request.Services[m.Index]).Str("reason", string(m.Reason)).Int("ran", m.PossibleRuns).Strs("tried", m.Tried))
+		missingParts.Dict(zerolog.Dict().Str("service", request.Services[m.Index]).Str("reason", string(m.Reason)).Int("ran", m.PossibleRuns).Strs("tried", m.Tried).Str("held", nameOfHold(m.Held)))
 	}
 	h.requestLog.Info().Str("request", request.Message.ID).Str("route", request.Route).Uint64("version", request.Version).
 		Int("parts", len(request.Services)).Int("missing", len(partial.Missing)).Array("lost", missingParts).
 		Dur("answer", request.TimeToAnswer).Msg("parts collected for another host")
 }
 
+// nameOfHold returns the word for a log line.
+func nameOfHold(h relay.Hold) string {
+	switch h.(type) {
+	case relay.HeldByBudget:
+		return "budget"
+	case relay.HeldByConnections:
+		return "connections"
+	case relay.HeldByBound:
+		return "bound"
+	case relay.HeldByServers:
+		return "servers"
+	}
+	return ""
+}
+
 // CollectMore implements peer.RelayHandler.
 func (h relayHandler) CollectMore(ctx context.Context, token uint64) (relay.PartialResult, error) {
 	return h.engine.CollectMore(ctx, token)
--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -95,4 +95,5 @@
 	}
 	r.bounds.SetMembers(members, now)
 	r.rollouts.SetMembers(deciders)
+	r.relayTable.UpdatePlacement(known, now)
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"hyssophub/admit"
 	"hyssophub/canary"
 	"hyssophub/dial"
 	"hyssophub/feed"
@@ -75,6 +76,7 @@
 	fleet      *fleet.Table
 	bounds     *flow.Table
 	rollouts   *canary.Table
+	admission  *admit.Table
 	relayTable *relay.Table
 	engine     *relay.Engine
 	backends   *dial.Client
@@ -165,12 +167,14 @@
 	if r.settings.Rollouts {
 		r.relayTable.UseRollouts(r.rollouts)
 	}
+	r.admission = admit.NewTable()
 	r.backends = dial.NewClient()
 	r.backends.SetMemory(int64(r.settings.MemoryMB) << 20)
 	r.engine = relay.NewEngine(r.rules, r.relayTable, newLoggedBackend(platform.NewBackend(r.backends), r.log), r.peers.client, relay.Options{
 		Host:       r.settings.Name,
 		Workers:    relayWorkers,
 		QueueLimit: relayQueue,
+		Admission:  r.admission,
 		OnNotice:   r.logNotice,
 		OnPanic:    r.reportPanic,
 	})
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -127,6 +127,7 @@
 	live, _ := r.hosts.Counts(now)
 	bounded := r.bounds.Counts(now)
 	rollouts := r.rollouts.Counts()
+	admission := r.admission.Counts()
 	followed := r.syncer.Status()
 	age := -time.Millisecond
 	if !followed.CheckedAt.IsZero() {
@@ -149,6 +150,10 @@
 		Rollouts:     rollouts.Open,
 		HeldRollouts: rollouts.Held,
 		Trials:       rollouts.Trials,
+		AdmitLimit:   admission.Limit,
+		InProgress:   admission.InProgress,
+		Queued:       admission.Queued,
+		TurnedAway:   admission.Refused + admission.Expired,
 		Dropped:      r.droppedLines(),
 		Panics:       r.panics.Load(),
 		Intake:       r.intake.Counts(),
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -45,6 +45,9 @@
 	// Trial, if not empty, is the only version that the request may go to. The instance
 	// with the fewest trials is chosen, so that all of them are judged.
 	Trial string
+	// ConnShare is the part, 0 to 1, of the connections of an instance that belongs to this
+	// host, if that is more than an equal one.
+	ConnShare float64
 	// Again is set if no instance could be chosen for the request before.
 	Again bool
 }
@@ -70,6 +73,9 @@
 	// Bounded is set if all instances that could serve the request bound their
 	// requests, so that none serves it before RetryAfter.
 	Bounded bool
+	// Full is set if an instance was passed over because this host uses its share of the
+	// instance's connections.
+	Full bool
 	// Reason is why the instance that accepts the next request first accepts none now,
 	// or that all instances are shutting down; empty if neither is the cause.
 	Reason fault.Reason
@@ -111,7 +117,7 @@
 	if constraints.Trial != "" {
 		best.trials++
 	}
-	return Choice{Instance: best.Instance, Detour: detour, IsCold: best.isCold(now), ConnLimit: t.connLimit(rule)}, refusal, true
+	return Choice{Instance: best.Instance, Detour: detour, IsCold: best.isCold(now), ConnLimit: t.connLimit(rule, constraints.ConnShare)}, refusal, true
 }
 
 // best returns the eligible instance with the lowest cost, and whether one with a lower
@@ -133,8 +139,9 @@
 			unbounded = unbounded || !isClosed
 			continue
 		}
-		if limit := t.connLimit(rule); limit > 0 && len(s.inFlight) >= limit {
+		if limit := t.connLimit(rule, constraints.ConnShare); limit > 0 && len(s.inFlight) >= limit {
 			unbounded = unbounded || !isClosed
+			refusal.Full = true
 			continue
 		}
 		cost := t.cost(s, now)
@@ -256,11 +263,12 @@
 
 // connLimit returns this host's share of the connections that each instance of a
 // service accepts; zero sets no limit.
-func (t *Table) connLimit(rule *rules.Service) int {
+func (t *Table) connLimit(rule *rules.Service, share float64) int {
 	if rule == nil || rule.MaxConnections == 0 {
 		return 0
 	}
-	return max(minConnLimit, int(connOvercommit*float64(rule.MaxConnections)/float64(t.hosts)))
+	equal := int(connOvercommit * float64(rule.MaxConnections) / float64(t.hosts))
+	return max(minConnLimit, equal, int(share*float64(rule.MaxConnections)))
 }
 
 // Zone returns the availability zone of the host.
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -50,6 +50,7 @@
 		TopK:           5,
 		MaxAttempts:    2,
 		Priority:       1,
+		Account:        "north",
 		TargetLatency:  150 * time.Millisecond,
 		TimeToAnswer:   140 * time.Millisecond,
 		TimeToDeadline: time.Second,
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -47,16 +47,16 @@
 	b.slots[b.slide(now, limits.Window)].ordinary++
 }
 
-// spend counts an extra request and returns true if this host's share of the
-// limit allows it.
-func (b *budget) spend(now time.Time, limits BudgetLimits, hosts int) bool {
+// spend counts an extra request and returns true if the limit allows it. share is the
+// part, 0 to 1, of the burst that belongs to this host.
+func (b *budget) spend(now time.Time, limits BudgetLimits, share float64) bool {
 	at := b.slide(now, limits.Window)
 	ordinary, extra := 0, 0
 	for _, s := range b.slots {
 		ordinary += s.ordinary
 		extra += s.extra
 	}
-	allowed := budgetMargin * (limits.Ratio*float64(ordinary) + limits.Burst/float64(max(1, hosts)))
+	allowed := budgetMargin * (limits.Ratio*float64(ordinary) + limits.Burst*share)
 	if float64(extra+1) > allowed {
 		return false
 	}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -39,6 +39,13 @@
 	case !e.active.Enter():
 		return PartialResult{}, fault.New(fault.NotRun{}, fault.ReasonStopping, "host %s is stopping", e.options.Host)
 	}
+	admitted := e.hasAccounts(view)
+	if admitted {
+		if refused := e.enter(ctx, admissionOfCollection(request, now)); refused != nil {
+			e.active.Leave()
+			return PartialResult{}, refused
+		}
+	}
 	r := e.newRequestState(e.ctx, Request{
 		Message: request.Message,
 		View:    view,
@@ -53,7 +60,8 @@
 		Arrived:  now,
 		Deadline: now.Add(request.TimeToDeadline + deadlineMargin),
 	})
-	r.collecting, r.spread = true, request.Spread
+	r.admitted = admitted
+	r.collecting, r.spread, r.collectedFor = true, request.Spread, request.Account
 	r.answerAt = now.Add(request.TimeToAnswer)
 	return e.collect(ctx, r, func() actions { return e.table.begin(r, now) })
 }
@@ -118,6 +126,9 @@
 	_ = e.table.finish(r)
 	r.cancelHelpers()
 	r.cancel()
+	if r.admitted {
+		e.leave()
+	}
 	e.active.Leave()
 }
 
--- a/relay/conclude.go
+++ b/relay/conclude.go
@@ -37,7 +37,7 @@
 // at once, because those just after that time may still make the caller's objective.
 func (r *requestState) concludeCollection(unanswerable int, now time.Time) Result {
 	late := !now.Before(r.answerAt)
-	if unanswerable == len(r.parts)-r.answered || !now.Before(r.end) || (late && (r.hasNew || !r.reported)) {
+	if unanswerable == len(r.parts)-r.answered || !now.Before(r.end) || (late && (r.hasNew || !r.reported)) || r.isEarlyResultDue(now) {
 		return Merged{}
 	}
 	return nil
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -16,7 +16,9 @@
 	Services    []string
 	TopK        int
 	MaxAttempts int
-	Priority    int
+	// Account is the name of the client account; empty if the request has none.
+	Account  string
+	Priority int
 	// TargetLatency is the response-time objective of the request.
 	TargetLatency time.Duration
 	// TimeToAnswer is the time left until the answer is due, TimeToDeadline the
@@ -53,9 +55,11 @@
 	// PossibleRuns is the number of backend servers that may have run the part.
 	PossibleRuns int
 	Reason       fault.Reason
-	// Tried lists the instances that the part was sent to. It is set only on
-	// the host that collects.
+	// Tried lists the instances that the part was sent to, and Held is why no further
+	// exchange was started; nil if one was. They are set only on the host that
+	// collects.
 	Tried []string
+	Held  Hold
 }
 
 // HelperClient calls other hosts to collect parts. CollectMore waits for
@@ -100,6 +104,7 @@
 		Services:       make([]string, len(x.parts)),
 		TopK:           r.gather.TopK,
 		MaxAttempts:    r.attempts(),
+		Account:        r.account(),
 		Priority:       r.request.Priority(),
 		TargetLatency:  r.request.Route.TargetLatency,
 		TimeToAnswer:   r.answerAt.Sub(now) - x.margin,
@@ -332,7 +337,7 @@
 		p := &r.parts[i]
 		switch {
 		case p.answer == nil:
-			c.Missing = append(c.Missing, MissingPart{Index: i, PossibleRuns: r.possibleRuns(p), Reason: p.missingReason(), Tried: p.tried})
+			c.Missing = append(c.Missing, MissingPart{Index: i, PossibleRuns: r.possibleRuns(p), Reason: p.missingReason(), Tried: p.tried, Held: p.held})
 		case !p.reported:
 			p.reported = true
 			c.Parts = append(c.Parts, CollectedPart{Index: i, Seal: p.answer.Seal})
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"hyssophub/admit"
 	"hyssophub/fault"
 	"hyssophub/flow"
 	"hyssophub/rules"
@@ -24,6 +25,8 @@
 	// QueueLimit is the greatest number of jobs per class that wait for a
 	// worker.
 	QueueLimit int
+	// Admission, if not nil, limits the requests in progress.
+	Admission *admit.Table
 	// OnNotice, if not nil, is called when a backend server says something else than
 	// before of the requests that it takes.
 	OnNotice func(flow.Change)
@@ -120,6 +123,12 @@
 		return declined(fault.NotRun{}, fault.ReasonStopping, refusalRetryAfter), Report{}
 	}
 	defer e.active.Leave()
+	if e.hasAccounts(request.View) {
+		if refused := e.enter(ctx, admissionOf(&request)); refused != nil {
+			return Declined{Err: refused}, Report{}
+		}
+		defer e.leave()
+	}
 	r := e.newRequestState(ctx, request)
 	defer r.cancel()
 	var (
@@ -127,7 +136,7 @@
 		helpers int
 	)
 	work.Guard(e.options.OnPanic, func() {
-		next := e.table.begin(r, now)
+		next := e.table.begin(r, time.Now())
 		helpers = len(next.collect)
 		result = e.run(r, next)
 	})
@@ -195,6 +204,7 @@
 		select {
 		case <-r.wake:
 		case <-timer.C:
+			e.observeLag(next.wakeAt)
 		case <-e.stop.ended:
 			if r.collecting {
 				// The host that asked gets what is in, and no token to wait for more.
@@ -283,7 +293,8 @@
 
 // exchange performs one exchange with a backend server and records its outcome.
 func (e *Engine) exchange(x *exchange) {
-	ctx := x.state.ctx
+	ctx := x.ctx
+	defer x.cancel()
 	if ctx.Err() != nil {
 		e.table.recordOutcome(x, Failed{Verdict: fault.NotRun{}, Reason: fault.ReasonStopping, Err: ctx.Err()}, time.Now())
 		return
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hyssophub/gossip"
+	"hyssophub/place"
 	"hyssophub/rules"
 )
 
@@ -122,7 +123,7 @@
 	least := coordinatorShare * float64(greatestWeight(helpers))
 	best, lowest := 0, math.Inf(1)
 	for i, h := range helpers {
-		if score := rendezvous(seed, h); float64(h.Weight) >= least && score < lowest {
+		if score := place.SeededScore(seed, h); float64(h.Weight) >= least && score < lowest {
 			best, lowest = i, score
 		}
 	}
@@ -206,10 +207,10 @@
 // parts of each host other than this one, whose parts it sends itself.
 func (t *Table) assignGroups(r *requestState, parts []int, neighbours []gossip.Host) []assignment {
 	hosts := append(neighbours, t.hosts.Self())
-	groups := max(1, (t.countOwnServices(r)+partsPerGroup-1)/partsPerGroup)
+	groups := t.countGroups(r)
 	byGroup := make([][]int, groups)
 	for _, i := range parts {
-		g := xxhash.Sum64String(r.parts[i].service) % uint64(groups)
+		g := place.GroupOf(r.parts[i].service, groups)
 		byGroup[g] = append(byGroup[g], i)
 	}
 	load := make([]int, len(hosts))
@@ -218,7 +219,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		h := selectHelper(uint64(g), hosts, load)
+		h := selectHelper(g, hosts, load)
 		load[h] += partsPerGroup
 		if h < len(neighbours) {
 			byHost[h] = append(byHost[h], list...)
@@ -241,6 +242,17 @@
 	return delegations
 }
 
+// countGroups returns the number of groups of the services of a request's route.
+func (t *Table) countGroups(r *requestState) int {
+	if r.groups == 0 {
+		r.groups = groupsOf(t.countOwnServices(r))
+	}
+	return r.groups
+}
+
+// groupsOf returns the number of groups of services.
+func groupsOf(services int) int { return max(1, (services+partsPerGroup-1)/partsPerGroup) }
+
 // countOwnServices returns the number of services of a request's route that have
 // instances in the own zone. The hosts of a zone agree on it and thus on the groups,
 // whatever part of a request each of them collects.
@@ -257,11 +269,11 @@
 // selectHelper returns the index of the host that collects a group: the first
 // one in the group's order of weighted rendezvous hashing that has capacity
 // left, or the first one if none has.
-func selectHelper(group uint64, helpers []gossip.Host, load []int) int {
+func selectHelper(group int, helpers []gossip.Host, load []int) int {
 	best, first := -1, 0
 	bestScore, firstScore := math.Inf(1), math.Inf(1)
 	for i, h := range helpers {
-		score := rendezvous(group, h)
+		score := place.Score(group, h)
 		if score < firstScore {
 			first, firstScore = i, score
 		}
@@ -274,19 +286,3 @@
 	}
 	return best
 }
-
-// groupMix is multiplied by the number of a group to spread it over all bits of
-// the hash.
-const groupMix = 0x9e3779b97f4a7c15
-
-// rendezvous returns the score of a host for a group. The lowest score wins,
-// and the probability that a host wins is proportional to its weight.
-func rendezvous(group uint64, h gossip.Host) float64 {
-	hash := xxhash.Sum64String(h.Name) ^ (group+1)*groupMix
-	// A second mixing step makes the number of the group affect all bits.
-	hash ^= hash >> 33
-	hash *= 0xff51afd7ed558ccd
-	hash ^= hash >> 33
-	u := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / float64(max(1, h.Weight))
-}
--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -91,6 +91,14 @@
 		if view := s.routing.View(); view != nil {
 			return fmt.Sprintf("can serve %t", s.table.CanServe(view, s.now))
 		}
+	case "cancelled":
+		var list []string
+		for _, x := range s.exchanges {
+			if x.ctx.Err() != nil && x.state == s.state {
+				list = append(list, x.request.Choice.ID)
+			}
+		}
+		return fmt.Sprint(list)
 	case "budget":
 		return s.budget(t, d)
 	case "order":
@@ -316,7 +324,7 @@
 		b.countOrdinary(s.now, s.table.limits)
 	}
 	spent := 0
-	for b.spend(s.now, s.table.limits, int(props.Number(t, d, "hosts"))) {
+	for b.spend(s.now, s.table.limits, 1/props.Number(t, d, "hosts")) {
 		spent++
 	}
 	return fmt.Sprintf("spent %d", spent)
--- a/relay/send.go
+++ b/relay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 )
@@ -28,7 +29,8 @@
 		return
 	}
 	extra := p.deliveries > 0
-	if extra && !t.budget(p.service).spend(now, t.limits, t.hostCount) {
+	if extra && !t.spend(r, p.service, now) {
+		p.held = HeldByBudget{}
 		p.pausedUntil = now.Add(retryPause)
 		a.wakeBy(p.pausedUntil)
 		return
@@ -56,7 +58,8 @@
 		a.wakeBy(due)
 		return
 	}
-	if !t.budget(p.service).spend(now, t.limits, t.hostCount) {
+	if !t.spend(r, p.service, now) {
+		p.held = HeldByBudget{}
 		a.wakeBy(now.Add(retryPause))
 		return
 	}
@@ -82,16 +85,19 @@
 	p := &r.parts[i]
 	scope := t.scope(r.request.View)
 	scope.TargetLatency, scope.HealthyOnly, scope.Again = r.request.Route.TargetLatency, healthyOnly, p.unchosen
+	scope.ConnShare = t.share(r, p.service, now)
 	choice, refusal, ok := t.choose(scope, p, now)
 	if !ok {
 		r.recordRefusal(refusal)
 		p.reason = cmp.Or(refusal.Reason, p.reason)
+		p.held = holdOf(refusal)
 		p.unchosen, p.closedUntil = true, time.Time{}
 		if refusal.Bounded {
 			p.closedUntil = now.Add(refusal.RetryAfter)
 		}
 		return false
 	}
+	p.held = nil
 	p.unchosen, p.closedUntil = false, time.Time{}
 	x := &exchange{
 		state: r,
@@ -107,6 +113,7 @@
 		},
 	}
 	t.beginTrial(x)
+	x.ctx, x.cancel = context.WithCancel(r.ctx)
 	p.open = append(p.open, x)
 	p.tried = append(p.tried, choice.ID)
 	p.sends++
--- a/relay/state.go
+++ b/relay/state.go
@@ -45,8 +45,15 @@
 	// reported after the first partial result.
 	collecting bool
 	spread     bool
-	hasNew     bool
-	reported   bool
+	// admitted is set if the collection takes a place among the requests in progress.
+	admitted bool
+	// collectedFor is the client account that the parts are collected for.
+	collectedFor string
+	// earlyAt is when the first partial result is reported if parts are still missing;
+	// zero if it is reported at answerAt.
+	earlyAt  time.Time
+	hasNew   bool
+	reported bool
 	// collectedRecords are the merged records from helpers. incomplete lists
 	// the delegations with missing parts, for which CollectMore is to be called.
 	collectedRecords [][]byte
@@ -58,6 +65,10 @@
 	// Collect is to be called.
 	redelegations []*delegation
 
+	// groups is the number of groups of the services of the route; zero until it is
+	// needed.
+	groups int
+
 	sends  int
 	hedges int
 	// detours counts the exchanges with an instance that was chosen because a better one
@@ -111,6 +122,8 @@
 	// hedged is set once a second exchange was started while the first was
 	// open.
 	hedged bool
+	// held is why the last attempt to start an exchange did not; nil if it did.
+	held Hold
 }
 
 // exchange is a request to a backend server in progress.
@@ -122,6 +135,9 @@
 	hedge   bool
 	// ticket identifies the send in the roll-out of its service, if there is one.
 	ticket canary.Ticket
+	// ctx ends with the request, or once another exchange answered the part.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func (p *part) isDone() bool { return p.answer != nil }
@@ -215,3 +231,11 @@
 
 // clearExcluded allows instances that were tried for the part to be chosen again.
 func (p *part) clearExcluded() { p.excludedFrom = len(p.tried) }
+
+// account returns the name of the client account; empty if the request has none.
+func (r *requestState) account() string {
+	if r.request.Account != nil {
+		return r.request.Account.Name
+	}
+	return r.collectedFor
+}
--- a/relay/table.go
+++ b/relay/table.go
@@ -10,6 +10,7 @@
 	"hyssophub/fleet"
 	"hyssophub/flow"
 	"hyssophub/gossip"
+	"hyssophub/place"
 	"hyssophub/rules"
 )
 
@@ -59,6 +60,8 @@
 	// rollouts are the roll-outs of services' versions; nil if there are none.
 	rollouts *canary.Table
 	limits   BudgetLimits
+	// placement holds this host's shares of the limits on services.
+	placement *place.Table
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -80,6 +83,7 @@
 		fleet:     instances,
 		hosts:     hosts,
 		limits:    limits,
+		placement: place.NewTable(),
 		budgets:   make(map[string]*budget),
 		hostCount: hostCount,
 	}
@@ -134,8 +138,8 @@
 	if !r.collecting && t.isClosedOff(r, now) {
 		return actions{result: declined(fault.NotRun{}, r.refusalReason(), r.retryAfter())}
 	}
-	if r.collecting && !now.Before(r.answerAt) {
-		r.answerAt = now.Add(lateAnswerTime)
+	if r.collecting {
+		r.setResultTimes(now)
 	}
 	var delegations []*delegation
 	switch {
@@ -215,6 +219,9 @@
 	if r.gather != nil && now.Before(r.answerAt) {
 		a.wakeBy(r.answerAt)
 	}
+	if r.awaitsEarlyResult() && now.Before(r.earlyAt) {
+		a.wakeBy(r.earlyAt)
+	}
 	a.collectMore, r.incomplete = r.incomplete, nil
 	a.collect, r.redelegations = r.redelegations, nil
 	for i := range r.parts {
@@ -359,6 +366,11 @@
 	p.answer = &o
 	r.answered++
 	r.hasNew = true
+	// The other exchanges would hold connections, and the places of the backend servers,
+	// as long as the request waits for other parts.
+	for _, other := range p.open {
+		other.cancel()
+	}
 }
 
 func (r *requestState) isDuplicate(seal string) bool {
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -82,6 +82,13 @@
 	Rollouts     int
 	HeldRollouts int
 	Trials       int
+	// AdmitLimit is how many requests the host has in progress at most, InProgress how
+	// many it has, Queued how many wait, and TurnedAway how many were refused for want of
+	// room. They are zero unless clients have accounts.
+	AdmitLimit int
+	InProgress int
+	Queued     int
+	TurnedAway uint64
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
 	// Panics is the number of panics that ended a request or a job.
@@ -145,6 +152,10 @@
 		{"hyssophub.tier.rollouts", "Roll-outs of services' versions without a verdict.", func(t TierState) int64 { return int64(t.Rollouts) }},
 		{"hyssophub.tier.rollouts_held", "Roll-outs without a verdict to whose target version this host sends nothing.", func(t TierState) int64 { return int64(t.HeldRollouts) }},
 		{"hyssophub.tier.trials", "Requests of this host sent to the target versions of roll-outs without a verdict.", func(t TierState) int64 { return int64(t.Trials) }},
+		{"hyssophub.admit.limit", "Requests that the host has in progress at most.", func(t TierState) int64 { return int64(t.AdmitLimit) }},
+		{"hyssophub.admit.progress", "Requests in progress that were admitted.", func(t TierState) int64 { return int64(t.InProgress) }},
+		{"hyssophub.admit.queued", "Requests that wait to be admitted.", func(t TierState) int64 { return int64(t.Queued) }},
+		{"hyssophub.admit.refused", "Requests refused because the host had no room in time.", func(t TierState) int64 { return int64(t.TurnedAway) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
 		{"hyssophub.intake.memory", "Bytes reserved for messages in progress.", func(t TierState) int64 { return t.Intake.Memory }},
 		{"hyssophub.intake.bound", "Bound on the bytes reserved for messages in progress; 0 is none.", func(t TierState) int64 { return t.Intake.Bound }},
