--- a/relay/budget.go
+++ b/relay/budget.go
@@ -23,14 +23,20 @@
 // window.
 type budget struct {
 	slots [windowSlots]struct{ ordinary, extra int }
-	// last is the number of the newest slot, counted from the Unix epoch.
+	// base is the time of the first count. Slots are counted from it and not from an
+	// epoch, so that a step of the clock neither empties nor refills the budget.
+	base time.Time
+	// last is the number of the newest slot.
 	last int64
 }
 
 // slide clears the slots that have left the window and returns the index of the
 // current one.
 func (b *budget) slide(now time.Time, window time.Duration) int64 {
-	slot := now.UnixNano() / int64(window/windowSlots)
+	if b.base.IsZero() {
+		b.base = now
+	}
+	slot := int64(now.Sub(b.base) / (window / windowSlots))
 	if slot-b.last >= windowSlots {
 		b.slots = [windowSlots]struct{ ordinary, extra int }{}
 		b.last = slot
