Log what a collection lacks when the answer is due

Cause: with early results, the line of a collector showed the state before the answer was due only.

Change: the result after an early one is logged as well. The test of message fields leaves out the new field, which like Tried is for the log of the host that collects.

--- a/daemon/collect.go
+++ b/daemon/collect.go
@@ -52,7 +52,11 @@
 
 // CollectMore implements peer.RelayHandler.
 func (h relayHandler) CollectMore(ctx context.Context, token uint64) (relay.PartialResult, error) {
-	return h.engine.CollectMore(ctx, token)
+	partial, err := h.engine.CollectMore(ctx, token)
+	if err == nil && partial.Request != nil && len(partial.Missing) > 0 {
+		h.logMissing(*partial.Request, partial)
+	}
+	return partial, err
 }
 
 // ChangesAfter implements peer.RelayHandler.
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -60,7 +60,7 @@
 		Arrived:  now,
 		Deadline: now.Add(request.TimeToDeadline + deadlineMargin),
 	})
-	r.admitted = admitted
+	r.admitted, r.collected = admitted, &request
 	r.collecting, r.spread, r.collectedFor = true, request.Spread, request.Account
 	r.answerAt = now.Add(request.TimeToAnswer)
 	return e.collect(ctx, r, func() actions { return e.table.begin(r, now) })
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -36,6 +36,9 @@
 	Records []byte
 	Parts   []CollectedPart
 	Missing []MissingPart
+	// Request is what the collection is for, in the result after an early one. It is set
+	// only on the host that collects, for its log.
+	Request *CollectRequest
 	// Token identifies the collection while further parts may be answered; zero
 	// once it has ended.
 	Token uint64
@@ -349,6 +352,9 @@
 	}
 	r.reportedRecords = len(r.collectedRecords)
 	c.Records = top.encode()
+	if r.reported {
+		c.Request, r.collected = r.collected, nil
+	}
 	r.hasNew, r.reported = false, true
 	return c
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -47,6 +47,9 @@
 	spread     bool
 	// admitted is set if the collection takes a place among the requests in progress.
 	admitted bool
+	// collected is what the parts are collected for, until it is logged after an early
+	// result.
+	collected *CollectRequest
 	// collectedFor is the client account that the parts are collected for.
 	collectedFor string
 	// earlyAt is when the first partial result is reported if parts are still missing;
