Keep a collection with an early result until the answer is due

Cause: a collection ended 40 ms after its result unless its host was called again, which a host that lags does later; the missing parts were lost. Hosts that are neither first nor second in a group had 0.3 of an equal part of the burst.

Change: after an early result the 40 ms count from when the answer is due; half of the burst is divided equally, and a quarter belongs to the first hosts.

--- a/place/place.go
+++ b/place/place.go
@@ -20,9 +20,9 @@
 	// second hosts of a group in all zones hold together. equalShare is divided among all
 	// hosts, since each may have to send parts itself. They sum up to less than one
 	// because a service that moves to another group has two first hosts for a while.
-	primaryShare   = 0.3
+	primaryShare   = 0.25
 	secondaryShare = 0.1
-	equalShare     = 0.3
+	equalShare     = 0.5
 	// leastSeen is the part of the hosts of its zone that a host must see to hold a
 	// rank. Each side of a partition would else take the whole share of the zone.
 	leastSeen = 0.5
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -102,8 +102,9 @@
 	return c, err
 }
 
-// suspend keeps a collection in progress for suspendTime or until CollectMore
-// is called, and returns its token.
+// suspend keeps a collection in progress until CollectMore is called, but no longer than
+// suspendTime, after an early result from when the answer is due, and returns its token.
+// A host that lags for longer than suspendTime would else lose the missing parts.
 func (e *Engine) suspend(r *requestState) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -111,7 +112,7 @@
 	e.lastToken = max(1, e.lastToken+1)
 	token := e.lastToken
 	l := &suspendedCollection{state: r}
-	l.timer = time.AfterFunc(suspendTime, func() {
+	l.timer = time.AfterFunc(max(0, time.Until(r.answerAt))+suspendTime, func() {
 		e.mu.Lock()
 		delete(e.suspended, token)
 		e.mu.Unlock()
