--- a/relay/script_test.go
+++ b/relay/script_test.go
@@ -91,6 +91,10 @@
 		if view := s.routing.View(); view != nil {
 			return fmt.Sprintf("can serve %t", s.table.CanServe(view, s.now))
 		}
+	case "share":
+		s.hearHosts(d)
+		s.table.UpdatePlacement(s.hosts.Known(s.now), s.now)
+		return fmt.Sprintf("%.3f", s.table.share(s.state, props.Text(t, d, "service"), s.now))
 	case "cancelled":
 		var list []string
 		for _, x := range s.exchanges {
@@ -128,11 +132,7 @@
 		weight = int(props.Number(t, d, "weight"))
 	}
 	s.hosts = gossip.NewTable(gossip.Host{Name: "self", Zone: props.Text(t, d, "zone"), Weight: weight}, s.now)
-	for _, line := range strings.Fields(d.Input) {
-		name, zone, _ := strings.Cut(line, "@")
-		host := gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400}
-		s.hosts.Receive(gossip.Heartbeat{Sender: gossip.Record{Host: host}}, s.now)
-	}
+	s.hearHosts(d)
 	s.routing, s.rollouts = rules.NewTable(0), nil
 	s.table = NewTable(s.routing, s.fleet, s.hosts, BudgetLimits{Ratio: 0.2, Burst: props.Number(t, d, "burst"), Window: 10 * time.Second}, 1)
 	s.set = rules.Set{}
@@ -330,6 +330,15 @@
 	return fmt.Sprintf("spent %d", spent)
 }
 
+// hearHosts receives a heartbeat of each host of the input.
+func (s *script) hearHosts(d *datadriven.TestData) {
+	for _, line := range strings.Fields(d.Input) {
+		name, zone, _ := strings.Cut(line, "@")
+		host := gossip.Host{Name: name, Zone: zone, Address: name, Weight: 400}
+		s.hosts.Receive(gossip.Heartbeat{Sender: gossip.Record{Host: host, LastSeen: s.now}}, s.now)
+	}
+}
+
 func (s *script) show(a actions) string {
 	var b strings.Builder
 	for _, x := range a.send {
