Give a service that changed its group equal shares for a window

Cause: after some services of a zone were gone, others changed their group, and the first hosts of both groups could each spend the burst on them.

Change: relay notes when the number of groups of a route changed; the limits on services that moved are shared equally for a window of the budget.

--- a/place/place.go
+++ b/place/place.go
@@ -132,13 +132,22 @@
 	return len(t.holdings) > 0
 }
 
+// EqualShare returns the part of a limit that every host may use.
+func (t *Table) EqualShare() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.equalShare()
+}
+
+func (t *Table) equalShare() float64 { return equalShare / float64(max(1, t.hosts.value)) }
+
 // Share returns the part, 0 to 1, of a limit on the services of a group that this host
 // may use. A rank counts once it has been held for settle, within which the host that held
 // it before may have used the limit.
 func (t *Table) Share(group int, settle time.Duration, now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	share := equalShare / float64(max(1, t.hosts.value))
+	share := t.equalShare()
 	if group < 0 || group >= len(t.holdings) || now.Sub(t.holdings[group].since) < settle {
 		return share
 	}
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -250,6 +250,27 @@
 	return r.groups
 }
 
+// grouping is the number of groups of a route, and the one before it changed.
+type grouping struct {
+	groups, before int
+	changedAt      time.Time
+}
+
+// hasMoved reports whether a service has changed its group within a time. The hosts of its
+// former group may have used their shares of the limits on it.
+func (t *Table) hasMoved(r *requestState, service string, within time.Duration, now time.Time) bool {
+	groups := t.countGroups(r)
+	g, ok := t.groupings[r.request.Route.Name]
+	if !ok {
+		g = &grouping{groups: groups, before: groups}
+		t.groupings[r.request.Route.Name] = g
+	}
+	if groups != g.groups {
+		g.groups, g.before, g.changedAt = groups, g.groups, now
+	}
+	return now.Sub(g.changedAt) < within && place.GroupOf(service, g.before) != place.GroupOf(service, g.groups)
+}
+
 // groupsOf returns the number of groups of services.
 func groupsOf(services int) int { return max(1, (services+partsPerGroup-1)/partsPerGroup) }
 
--- a/relay/share.go
+++ b/relay/share.go
@@ -33,6 +33,22 @@
 		}
 	}
 	t.placement.Update(v, now)
+	t.forgetGroupings()
+}
+
+// forgetGroupings removes the groups of routes that are gone.
+func (t *Table) forgetGroupings() {
+	view := t.rules.View()
+	if view == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.groupings {
+		if _, ok := view.Route(name); !ok {
+			delete(t.groupings, name)
+		}
+	}
 }
 
 // share returns the part, 0 to 1, of the limits on a service that this host may use for
@@ -42,6 +58,9 @@
 	if r.gather == nil || !t.placement.IsRanked() {
 		return equal
 	}
+	if t.hasMoved(r, service, t.limits.Window, now) {
+		return t.placement.EqualShare()
+	}
 	return t.placement.Share(place.GroupOf(service, t.countGroups(r)), t.limits.Window, now)
 }
 
--- a/relay/table.go
+++ b/relay/table.go
@@ -65,6 +65,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*budget
+	// groupings holds the groups of each route by its name.
+	groupings map[string]*grouping
 	// hostCount is the number of hosts that share the budgets.
 	hostCount int
 	// lag is a decaying maximum of the recent delays between the time at which
@@ -85,6 +87,7 @@
 		limits:    limits,
 		placement: place.NewTable(),
 		budgets:   make(map[string]*budget),
+		groupings: make(map[string]*grouping),
 		hostCount: hostCount,
 	}
 }
