--- a/place/place.go
+++ b/place/place.go
@@ -1,7 +1,7 @@
 // Package place decides which hosts of an availability zone collect the parts of a
-// service, and which part of the limits on a service belongs to each host: most of it to
-// the hosts that send its requests, and an equal part to every host. It owns how long this
-// host has held its ranks. Hosts do not agree on the ranks: each derives them from the hosts
+// service, and which part of the limits on a service belongs to each host: an equal part to
+// every host, and a greater one to those that collect it. It owns how long this host has
+// held its ranks. Hosts do not agree on the ranks: each derives them from the hosts
 // that it knows.
 package place
 
@@ -19,7 +19,7 @@
 	// primaryShare and secondaryShare are the parts of a limit that the first and the
 	// second hosts of a group in all zones hold together. equalShare is divided among all
 	// hosts, since each may have to send parts itself. They sum up to less than one
-	// because a service that moves to another group has two first hosts for a while.
+	// because hosts disagree for a moment on who is first.
 	primaryShare   = 0.25
 	secondaryShare = 0.1
 	equalShare     = 0.5
