--- a/relay/early.go
+++ b/relay/early.go
@@ -15,8 +15,9 @@
 	// its zone, whose early results it gets before.
 	earlySpreadShare = 0.7
 	// minEarlyTime is the time to the answer below which a collection does not report
-	// early: the second result would cost more than it saves.
-	minEarlyTime = 40 * time.Millisecond
+	// early. A second call takes several milliseconds on hosts with a fifth of a core, and
+	// between the two results a hedge must be answered.
+	minEarlyTime = 80 * time.Millisecond
 )
 
 // setResultTimes sets when a collection that begins now reports partial results.
