--- a/relay/budget.go
+++ b/relay/budget.go
@@ -23,14 +23,20 @@
 // window.
 type budget struct {
 	slots [windowSlots]struct{ ordinary, extra int }
-	// last is the number of the newest slot, counted from the Unix epoch.
+	// base is the time of the first count. Slots are counted from it and not from an
+	// epoch, so that a step of the clock neither empties nor refills the budget.
+	base time.Time
+	// last is the number of the newest slot.
 	last int64
 }
 
 // slide clears the slots that have left the window and returns the index of the
 // current one.
 func (b *budget) slide(now time.Time, window time.Duration) int64 {
-	slot := now.UnixNano() / int64(window/windowSlots)
+	if b.base.IsZero() {
+		b.base = now
+	}
+	slot := int64(now.Sub(b.base) / (window / windowSlots))
 	if slot-b.last >= windowSlots {
 		b.slots = [windowSlots]struct{ ordinary, extra int }{}
 		b.last = slot
@@ -47,16 +53,16 @@
 	b.slots[b.slide(now, limits.Window)].ordinary++
 }
 
-// spend counts an extra request and returns true if this host's share of the
-// limit allows it.
-func (b *budget) spend(now time.Time, limits BudgetLimits, hosts int) bool {
+// spend counts an extra request and returns true if the limit allows it. share is the
+// part, 0 to 1, of the burst that belongs to this host.
+func (b *budget) spend(now time.Time, limits BudgetLimits, share float64) bool {
 	at := b.slide(now, limits.Window)
 	ordinary, extra := 0, 0
 	for _, s := range b.slots {
 		ordinary += s.ordinary
 		extra += s.extra
 	}
-	allowed := budgetMargin * (limits.Ratio*float64(ordinary) + limits.Burst/float64(max(1, hosts)))
+	allowed := budgetMargin * (limits.Ratio*float64(ordinary) + limits.Burst*share)
 	if float64(extra+1) > allowed {
 		return false
 	}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -39,6 +39,13 @@
 	case !e.active.Enter():
 		return PartialResult{}, fault.New(fault.NotRun{}, fault.ReasonStopping, "host %s is stopping", e.options.Host)
 	}
+	admitted := e.hasAccounts(view)
+	if admitted {
+		if refused := e.enter(ctx, admissionOfCollection(request, now)); refused != nil {
+			e.active.Leave()
+			return PartialResult{}, refused
+		}
+	}
 	r := e.newRequestState(e.ctx, Request{
 		Message: request.Message,
 		View:    view,
@@ -53,7 +60,8 @@
 		Arrived:  now,
 		Deadline: now.Add(request.TimeToDeadline + deadlineMargin),
 	})
-	r.collecting, r.spread = true, request.Spread
+	r.admitted, r.collected = admitted, &request
+	r.collecting, r.spread, r.collectedFor = true, request.Spread, request.Account
 	r.answerAt = now.Add(request.TimeToAnswer)
 	return e.collect(ctx, r, func() actions { return e.table.begin(r, now) })
 }
@@ -94,8 +102,9 @@
 	return c, err
 }
 
-// suspend keeps a collection in progress for suspendTime or until CollectMore
-// is called, and returns its token.
+// suspend keeps a collection in progress until CollectMore is called, but no longer than
+// suspendTime, after an early result from when the answer is due, and returns its token.
+// A host that lags for longer than suspendTime would else lose the missing parts.
 func (e *Engine) suspend(r *requestState) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,7 +112,7 @@
 	e.lastToken = max(1, e.lastToken+1)
 	token := e.lastToken
 	l := &suspendedCollection{state: r}
-	l.timer = time.AfterFunc(suspendTime, func() {
+	l.timer = time.AfterFunc(max(0, time.Until(r.answerAt))+suspendTime, func() {
 		e.mu.Lock()
 		delete(e.suspended, token)
 		e.mu.Unlock()
@@ -118,6 +127,9 @@
 	_ = e.table.finish(r)
 	r.cancelHelpers()
 	r.cancel()
+	if r.admitted {
+		e.leave()
+	}
 	e.active.Leave()
 }
 
