Move the order of owners, the bucket and the recent demand from flow to share

Cause: caps of client accounts need the same rules by which hosts share the rate of a backend server.

Change: package share holds members with their history, the order of owners, the delays of joining and taking over, the token bucket and the count of recent demand.

Result: flow's tests and scripts pass unchanged.

--- a/flow/admit.go
+++ b/flow/admit.go
@@ -78,7 +78,7 @@
 	if s == nil {
 		return
 	}
-	s.wanted.add(now)
+	s.wanted.Add(now)
 	if s.validPermits(now) > 0 {
 		s.permits[0].count--
 	}
@@ -96,7 +96,7 @@
 	}
 	s.waitingAt = now
 	if !again {
-		s.wanted.add(now)
+		s.wanted.Add(now)
 	}
 	t.wakeUp()
 }
--- a/flow/announce.go
+++ b/flow/announce.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"hyssophub/share"
 )
 
 // Announcement tells other hosts which servers said that they leave, and which named a
@@ -29,7 +31,7 @@
 func (t *Table) Announcements() []Announcement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	self := t.members[t.self]
+	self := t.members.Peers[t.self]
 	if len(t.newlyLeaving)+len(t.newlyLimited) == 0 || self == nil {
 		return nil
 	}
@@ -42,8 +44,8 @@
 	if len(t.newlyLeaving)+len(t.newlyLimited) > 0 {
 		t.wakeUp()
 	}
-	var others []*member
-	for _, m := range t.members {
+	var others []*share.Peer
+	for _, m := range t.members.Peers {
 		switch {
 		case !m.Live || m.Name == t.self:
 		case m.Zone == self.Zone:
@@ -58,8 +60,8 @@
 }
 
 // oneOfEachZone returns the address of a random host of each zone.
-func (t *Table) oneOfEachZone(members []*member) []string {
-	slices.SortFunc(members, func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
+func (t *Table) oneOfEachZone(members []*share.Peer) []string {
+	slices.SortFunc(members, func(a, b *share.Peer) int { return strings.Compare(a.Name, b.Name) })
 	t.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	var addresses, zones []string
 	for _, m := range members {
@@ -89,12 +91,12 @@
 		s.leaving = true
 		changes = append(changes, LeavingNamed{Server: server, From: from})
 	}
-	self := t.members[t.self]
+	self := t.members.Peers[t.self]
 	if !announced.Relay || self == nil {
 		return nil, changes
 	}
 	n := Announcement{Leaving: announced.Leaving, Limited: announced.Limited}
-	for _, m := range t.members {
+	for _, m := range t.members.Peers {
 		if m.Live && m.Zone == self.Zone && m.Name != t.self {
 			n.Addresses = append(n.Addresses, m.Address)
 		}
--- a/flow/share.go
+++ b/flow/share.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hyssophub/share"
 )
 
 const (
@@ -88,7 +90,7 @@
 	// owner is the host that was named as the owner instead of the first candidate.
 	owner string
 	// candidates are the results of Table.candidates at epoch.
-	candidates []*member
+	candidates []*share.Peer
 	epoch      uint64
 }
 
@@ -134,7 +136,7 @@
 
 // want returns the number of permits to ask for.
 func (s *state) want(now time.Time) int {
-	expected := float64(s.wanted.sum(now)) * askAhead.Seconds() / (countSlots * countSlot).Seconds()
+	expected := float64(s.wanted.Sum(now)) * askAhead.Seconds() / share.CountTime.Seconds()
 	want := int(math.Ceil(expected))
 	if now.Sub(s.waitingAt) < askAhead {
 		want = max(want, 1)
@@ -155,7 +157,7 @@
 }
 
 // ownerFor returns the host to ask for permits of a server; nil if none is known.
-func (t *Table) ownerFor(s *state) *member {
+func (t *Table) ownerFor(s *state) *share.Peer {
 	candidates := t.candidates(s)
 	if len(candidates) == 0 {
 		return nil
@@ -164,7 +166,7 @@
 		s.ask.owner = ""
 		return candidates[s.ask.misses/missLimit%len(candidates)]
 	}
-	if m := t.members[s.ask.owner]; m != nil && m.Live {
+	if m := t.members.Peers[s.ask.owner]; m != nil && m.Live {
 		return m
 	}
 	return candidates[0]
@@ -251,9 +253,8 @@
 
 // ledger is the account of the permits that a host granted for a server.
 type ledger struct {
-	// paidUntil is the time up to which permits were granted: at a rate of r, each
-	// permit takes 1/r.
-	paidUntil time.Time
+	// granted starts with nothing saved up when this host becomes the owner.
+	granted share.Bucket
 	// asking holds the newest ask of each host.
 	asking map[string]hostAsk
 }
@@ -266,8 +267,8 @@
 // grant decides on an ask of a host for permits.
 func (t *Table) grant(s *state, host string, want int, now time.Time) Grant {
 	g := Grant{Server: s.server, Limit: s.known()}
-	share := t.share(s, now)
-	if share == 0 {
+	part := t.share(s, now)
+	if part == 0 {
 		s.ledger = ledger{}
 		if c := t.candidates(s); len(c) > 0 && c[0].Name != t.self {
 			g.Owner = c[0].Name
@@ -278,33 +279,21 @@
 	if !isBounded {
 		return g
 	}
-	rate := share * max(minRate, bound)
+	rate := part * max(minRate, bound)
 	total := s.ledger.record(host, want, now)
-	// The account of a new owner starts with nothing saved up.
-	if s.ledger.paidUntil.IsZero() {
-		s.ledger.paidUntil = now
-	}
-	saved := max(burstTime.Seconds(), 1/rate)
-	if oldest := now.Add(-seconds(saved)); s.ledger.paidUntil.Before(oldest) {
-		s.ledger.paidUntil = oldest
-	}
-	available := math.Floor(now.Sub(s.ledger.paidUntil).Seconds()*rate + roundingSlack)
+	available := s.ledger.granted.Refill(rate, max(burstTime.Seconds()*rate, 1), now)
 	if want > 0 && available >= 1 {
-		part := math.Ceil(available * float64(want) / float64(total))
-		n := min(float64(want), available, max(1, part))
+		wanted := math.Ceil(available * float64(want) / float64(total))
+		n := min(float64(want), available, max(1, wanted))
 		g.Permits = int(n)
-		s.ledger.paidUntil = s.ledger.paidUntil.Add(seconds(n / rate))
+		s.ledger.granted.Level -= n
 	}
 	g.Wait = min(maxWait, max(0, seconds(float64(total)/rate)))
 	return g
 }
 
-const (
-	// roundingSlack is the part of a permit that may be missing for it to be granted.
-	roundingSlack = 1e-6
-	// maxWait bounds the time until further permits that a grant names.
-	maxWait = 10 * time.Second
-)
+// maxWait bounds the time until further permits that a grant names.
+const maxWait = 10 * time.Second
 
 // record records the newest ask of a host and returns the sum of what all hosts want.
 func (l *ledger) record(host string, want int, now time.Time) int {
--- a/flow/table.go
+++ b/flow/table.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"hyssophub/share"
 )
 
 // Table holds the servers that bound the requests that they take, with this host's
@@ -11,17 +13,14 @@
 // order, its lock comes after that of package fleet and before that of package
 // dial; no other lock is acquired while it is held.
 type Table struct {
-	self    string
-	started time.Time
-	wake    chan struct{}
+	self string
+	wake chan struct{}
 
 	mu sync.Mutex
 	// random spreads the asks of the hosts over time.
 	random  *rand.Rand
 	servers map[string]*state
-	members map[string]*member
-	// epoch counts the changes of members.
-	epoch uint64
+	members *share.Members
 	// asked counts the sets of asks that were sent.
 	asked uint64
 	// newlyLeaving and newlyLimited are what servers said first to this host, to be told to
@@ -49,7 +48,7 @@
 	permits []permits
 	// wanted counts this host's requests that were sent to the server or would have
 	// been, had there been a permit.
-	wanted recentCount
+	wanted share.RecentCount
 	// waitingAt is when a request last found no permit, and nextPermit the time from
 	// which one is expected.
 	waitingAt  time.Time
@@ -109,11 +108,10 @@
 func NewTable(self string, now time.Time) *Table {
 	return &Table{
 		self:    self,
-		started: now,
 		wake:    make(chan struct{}, 1),
-		random:  rand.New(rand.NewPCG(hash(self), uint64(now.UnixNano()))),
+		random:  rand.New(rand.NewPCG(share.Hash(self), uint64(now.UnixNano()))),
 		servers: make(map[string]*state),
-		members: make(map[string]*member),
+		members: share.NewMembers(self, now),
 	}
 }
 
--- a/flow/count.go
+++ b/share/count.go
@@ -1,4 +1,4 @@
-package flow
+package share
 
 import "time"
 
@@ -7,22 +7,25 @@
 	// counted. It covers some exchanges of asks and grants.
 	countSlots = 5
 	countSlot  = 100 * time.Millisecond
+	// CountTime is the time that a RecentCount covers.
+	CountTime = countSlots * countSlot
 )
 
-// recentCount counts events of the last countSlots slots.
-type recentCount struct {
+// RecentCount counts events of the last CountTime, such as requests that want a permit.
+type RecentCount struct {
 	slots [countSlots]int
 	// last is the number of the newest slot, counted from the Unix epoch.
 	last int64
 }
 
-func (c *recentCount) add(now time.Time) {
+// Add counts an event.
+func (c *RecentCount) Add(now time.Time) {
 	c.slide(now)
 	c.slots[c.last%countSlots]++
 }
 
-// sum returns the number of events in the slots up to now.
-func (c *recentCount) sum(now time.Time) int {
+// Sum returns the number of events in the slots up to now.
+func (c *RecentCount) Sum(now time.Time) int {
 	c.slide(now)
 	sum := 0
 	for _, n := range c.slots {
@@ -32,7 +35,7 @@
 }
 
 // slide clears the slots that are older than the count reaches.
-func (c *recentCount) slide(now time.Time) {
+func (c *RecentCount) slide(now time.Time) {
 	slot := now.UnixNano() / int64(countSlot)
 	for c.last = max(c.last, slot-countSlots); c.last < slot; {
 		c.last++
