Keep the caps of client accounts over all hosts

Cause: nothing kept the rate and burst of an account; all requests were served.

Change: package quota divides each cap equally among the availability zones. One host of each zone owns the zone's share, and hosts ask it, then owners of other zones, for a permit for each request. Over the cap a request is refused at once as not run (status 429) with a time to come back that is spread over the callers. Permits of requests that were refused for another reason are given back. Messages are new fields of the datagrams about permits. Caps are kept only where the settings name their bounds.

--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -75,7 +75,7 @@
 // updateMembers tells the table of rate limits which hosts are known, and the other
 // hosts whether this one may own limits.
 func (r *Relay) updateMembers(now time.Time) {
-	joined := r.bounds.HasJoined(now)
+	joined := r.bounds.HasJoined(now) || r.caps.IsEnforced() && r.caps.HasJoined(now)
 	r.hosts.UpdateSelf(func(record *gossip.Record) { record.Joined = joined })
 	known := r.hosts.Known(now)
 	members := make([]flow.Member, 0, len(known))
@@ -95,4 +95,6 @@
 	}
 	r.bounds.SetMembers(members, now)
 	r.rollouts.SetMembers(deciders)
+	r.caps.SetMembers(members, now)
+	r.updateCaps()
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -24,6 +24,7 @@
 	"hyssophub/logs"
 	"hyssophub/peer"
 	"hyssophub/platform"
+	"hyssophub/quota"
 	"hyssophub/relay"
 	"hyssophub/rules"
 	"hyssophub/setup"
@@ -68,6 +69,7 @@
 	requestLog     zerolog.Logger
 	stats          *stats.Metrics
 	requestMetrics *stats.RouteMetrics
+	accountMetrics *stats.AccountMetrics
 	// droppedLines returns the number of log lines that were dropped.
 	droppedLines func() uint64
 
@@ -75,6 +77,7 @@
 	fleet      *fleet.Table
 	bounds     *flow.Table
 	rollouts   *canary.Table
+	caps       *quota.Table
 	relayTable *relay.Table
 	engine     *relay.Engine
 	backends   *dial.Client
@@ -94,6 +97,8 @@
 	// speedBlock is the input and speedSum the last result of measureSpeed.
 	speedBlock [64 << 10]byte
 	speedSum   uint64
+	// capsVersion is the version of the rules whose caps updateCaps has set.
+	capsVersion uint64
 	// panics counts the panics of requests and jobs.
 	panics atomic.Uint64
 
@@ -131,6 +136,9 @@
 	if r.settings.Rollouts {
 		r.jobs.Go(r.followRollouts)
 	}
+	if r.caps.IsEnforced() {
+		r.jobs.Go(r.expirePermits)
+	}
 	r.jobs.Go(r.probeZones)
 	r.jobs.Go(r.closeStaleConnections)
 	r.log.Info().Str("zone", settings.Zone).Str("front", settings.ClientAddr).Msg("host started")
@@ -155,6 +163,7 @@
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
 	r.bounds = flow.NewTable(r.settings.Name, r.started)
+	r.caps = quota.NewTable(r.settings.Name, quota.Bounds(r.settings.Caps), r.started)
 	r.fleet = fleet.NewTable(r.settings.Zone, r.bounds)
 	r.fleet.SetHosts(assumedHosts)
 	if err := r.buildPeers(); err != nil {
@@ -176,6 +185,9 @@
 	})
 	r.store = platform.NewStore(r.settings.StoreAddr)
 	r.syncer = feed.NewSyncer(r.store, r.peers, r.rules, r.fleet, log.Layer(logs.LayerFeed), r.reportPanic)
+	if r.accountMetrics, err = r.stats.NewAccountMetrics(); err != nil {
+		return err
+	}
 	if r.settings.Rollouts {
 		r.store.FollowRollouts()
 		r.syncer.UseRollouts(r.rollouts)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -27,7 +27,7 @@
 // Serve implements platform.RequestHandler.
 func (s server) Serve(r *http.Request, request relay.Request) relay.Result {
 	request.NetworkTime = networkTime(r)
-	result, report := s.engine.Serve(r.Context(), request)
+	result, report := s.serveWithinCap(r.Context(), request)
 	s.record(request, result, report, time.Since(request.Arrived))
 	return result
 }
@@ -110,6 +110,12 @@
 	}
 	if request.Account != nil {
 		line.Str("account", request.Account.Name)
+		if request.Account.Rate > 0 {
+			line.Float64("cap", request.Account.Rate).Float64("burst", request.Account.Burst)
+		}
+	}
+	if len(report.Asked) > 0 {
+		line.Strs("asked", report.Asked)
 	}
 	return line.Str("request", request.Message.ID).Str("route", request.Route.Name).Uint64("version", request.View.Set.Version).
 		Int64("revision", int64(s.hosts.Self().Revision)).Int("sends", report.Sends).Int("hedges", report.Hedges).Int("detours", report.Detours).Int("helpers", report.Helpers).
@@ -127,6 +133,7 @@
 	live, _ := r.hosts.Counts(now)
 	bounded := r.bounds.Counts(now)
 	rollouts := r.rollouts.Counts()
+	caps := r.caps.Counts()
 	followed := r.syncer.Status()
 	age := -time.Millisecond
 	if !followed.CheckedAt.IsZero() {
@@ -152,6 +159,10 @@
 		Dropped:      r.droppedLines(),
 		Panics:       r.panics.Load(),
 		Intake:       r.intake.Counts(),
+
+		OwnedCaps:       caps.Owned,
+		GrantedPermits:  caps.Granted,
+		ReturnedPermits: caps.GivenBack,
 	}
 }
 
--- a/fault/error.go
+++ b/fault/error.go
@@ -72,6 +72,8 @@
 	ReasonUnknownKey Reason = "unknown_key"
 	// ReasonAccountRate: the client account is over its rate for all hosts together.
 	ReasonAccountRate Reason = "account_rate"
+	// ReasonCapUnknown: no host that may grant a permit for the client account was reached.
+	ReasonCapUnknown Reason = "cap_unknown"
 	// ReasonConflict: the idempotency key was used for a different request.
 	ReasonConflict Reason = "conflict"
 )
--- a/peer/fields_test.go
+++ b/peer/fields_test.go
@@ -14,6 +14,7 @@
 	"hyssophub/flow"
 	"hyssophub/gossip"
 	"hyssophub/peer/peerpb"
+	"hyssophub/quota"
 	"hyssophub/relay"
 	"hyssophub/shard"
 )
@@ -109,6 +110,10 @@
 	return nil
 }
 
+func (recordingPermits) AnswerClaims([]quota.Claim) []quota.Reply { return nil }
+
+func (recordingPermits) AcceptReplies(string, []quota.Reply) []quota.Parcel { return nil }
+
 // transmit encodes a message as bytes and decodes them.
 func transmit[M proto.Message](t *testing.T, sent, received M) M {
 	t.Helper()
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -12,6 +12,7 @@
 	"hyssophub/canary"
 	"hyssophub/flow"
 	"hyssophub/peer/peerpb"
+	"hyssophub/quota"
 	"hyssophub/work"
 )
 
@@ -26,6 +27,11 @@
 	Tell(host string, announced flow.Announcement) []flow.Announcement
 	// Hear applies reports on roll-outs, and returns the replies.
 	Hear(reports []canary.Report) []canary.Report
+	// AnswerClaims answers the claims of a host for permits of client accounts.
+	AnswerClaims(claims []quota.Claim) []quota.Reply
+	// AcceptReplies applies the replies of a host to such claims, and returns what to
+	// send.
+	AcceptReplies(host string, replies []quota.Reply) []quota.Parcel
 }
 
 // PermitSocket sends and receives asks for permits, the grants that answer them, and
@@ -66,6 +72,7 @@
 		if len(msg.GetGrants()) > 0 {
 			handler.Accept(msg.GetNumber(), decodeGrants(msg.GetGrants(), now))
 		}
+		s.receiveClaims(&msg, from, handler)
 		if len(msg.GetAsks()) == 0 {
 			return
 		}
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -11,6 +11,7 @@
 	"hyssophub/canary"
 	"hyssophub/flow"
 	"hyssophub/peer/peerpb"
+	"hyssophub/quota"
 )
 
 // permitRecorder grants what it is asked for and records the grants that it receives.
@@ -128,3 +129,7 @@
 	require.Empty(t, <-handler.granted)
 	require.Empty(t, (<-handler.told).Leaving)
 }
+
+func (r permitRecorder) AnswerClaims([]quota.Claim) []quota.Reply { return nil }
+
+func (r permitRecorder) AcceptReplies(string, []quota.Reply) []quota.Parcel { return nil }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -95,6 +95,9 @@
 	Trials int
 	// Helpers is the number of hosts that parts were delegated to.
 	Helpers int
+	// Asked lists the hosts that were asked for a permit for the request, if it was
+	// refused for want of one.
+	Asked []string
 	// Unanswered lists the services without an answer.
 	Unanswered []UnansweredService
 }
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -48,6 +48,18 @@
 	// Rollouts is set if the operators move services to other software versions by
 	// orders. Otherwise all versions of a service are alike.
 	Rollouts bool
+	Caps     RelayCaps
+}
+
+// RelayCaps is how far the caps of client accounts may be exceeded: within Window, all
+// hosts together may serve (rate * Window + burst) * (1 + Excess) + Slack requests of an
+// account. Caps are not kept if Window is zero.
+type RelayCaps struct {
+	Window time.Duration
+	Excess float64
+	Slack  float64
+	// Zones are the availability zones that share each cap.
+	Zones []string
 }
 
 // RelayAccounts says how a host treats the keys of client accounts while it cannot follow
@@ -74,7 +86,7 @@
 }
 
 // relayFields lists the fields in the error for a file that cannot be decoded.
-const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window) and accounts (strict, bound)"
+const relayFields = "the strings name, zone, front, ready, peer, stats, beat, permit, store, the list seeds, the booleans first and rollouts, the numbers cores, memory and files and the objects stop (grace), budget (ratio, burst, window), accounts (strict, bound) and caps (window, excess, slack, zones)"
 
 // wireRelay is the format of the settings file. Times are in seconds, memory is in
 // MB.
@@ -106,6 +118,12 @@
 		Strict bool     `json:"strict"`
 		Bound  *float64 `json:"bound"`
 	} `json:"accounts"`
+	Caps struct {
+		Window float64  `json:"window"`
+		Excess float64  `json:"excess"`
+		Slack  float64  `json:"slack"`
+		Zones  []string `json:"zones"`
+	} `json:"caps"`
 }
 
 // Defaults for a platform that does not set these bounds. Ratio and burst default
@@ -163,6 +181,7 @@
 		Budget:      RelayBudget{Ratio: decoded.Budget.Ratio, Burst: decoded.Budget.Burst, Window: seconds(window)},
 		Rollouts:    decoded.Rollouts,
 		Accounts:    RelayAccounts{Strict: decoded.Accounts.Strict, Bound: seconds(bound)},
+		Caps:        RelayCaps{Window: seconds(decoded.Caps.Window), Excess: decoded.Caps.Excess, Slack: decoded.Caps.Slack, Zones: decoded.Caps.Zones},
 	}
 	errs := []error{checkName("name", decoded.Name), checkName("zone", decoded.Zone)}
 	for _, field := range []struct{ name, value string }{
@@ -182,6 +201,9 @@
 		checkRange("budget.burst", decoded.Budget.Burst, 0, maxBurst),
 		checkRange("budget.window", window, 1, maxWindowSeconds),
 		checkRange("accounts.bound", bound, 0, maxWindowSeconds),
+		checkRange("caps.window", decoded.Caps.Window, 0, maxWindowSeconds),
+		checkRange("caps.excess", decoded.Caps.Excess, 0, 1),
+		checkRange("caps.slack", decoded.Caps.Slack, 0, maxBurst),
 	)
 	return settings, errors.Join(errs...)
 }
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -82,6 +82,12 @@
 	Rollouts     int
 	HeldRollouts int
 	Trials       int
+	// OwnedCaps is the number of caps of client accounts that the host owns and was asked
+	// for. GrantedPermits and ReturnedPermits count the permits that it granted for such
+	// caps, and those that came back unused.
+	OwnedCaps       int
+	GrantedPermits  uint64
+	ReturnedPermits uint64
 	// Dropped is the number of log lines that were dropped.
 	Dropped uint64
 	// Panics is the number of panics that ended a request or a job.
@@ -145,6 +151,9 @@
 		{"hyssophub.tier.rollouts", "Roll-outs of services' versions without a verdict.", func(t TierState) int64 { return int64(t.Rollouts) }},
 		{"hyssophub.tier.rollouts_held", "Roll-outs without a verdict to whose target version this host sends nothing.", func(t TierState) int64 { return int64(t.HeldRollouts) }},
 		{"hyssophub.tier.trials", "Requests of this host sent to the target versions of roll-outs without a verdict.", func(t TierState) int64 { return int64(t.Trials) }},
+		{"hyssophub.caps.owned", "Caps of client accounts that the host owns and was asked for.", func(t TierState) int64 { return int64(t.OwnedCaps) }},
+		{"hyssophub.caps.granted", "Permits granted for requests of client accounts since the start.", func(t TierState) int64 { return int64(t.GrantedPermits) }},
+		{"hyssophub.caps.returned", "Permits that came back unused since the start.", func(t TierState) int64 { return int64(t.ReturnedPermits) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
 		{"hyssophub.intake.memory", "Bytes reserved for messages in progress.", func(t TierState) int64 { return t.Intake.Memory }},
 		{"hyssophub.intake.bound", "Bound on the bytes reserved for messages in progress; 0 is none.", func(t TierState) int64 { return t.Intake.Bound }},
