Test accounts and caps with real processes

It checks that no key reaches a backend server, that the account header is that of the key's holder, that no request with a key that no version held or that was taken away runs, that valid keys are not denied, and that accounts stay within their caps.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -53,6 +53,8 @@
 	random  *rand.Rand
 	http    *http.Client
 	current *host
+	// key is the key of the client's account; empty if it has none.
+	key string
 }
 
 func newClient(d *deployment, o *observations, seed uint64) *client {
@@ -147,6 +149,10 @@
 	}
 	r.Host = soakHost
 	r.Header.Set("Attempt-Id", id)
+	if c.key != "" {
+		r.Header.Set("Key", c.key)
+		r.Header.Set("Tenant", "forged")
+	}
 	r.Header.Set(headerCopy, id)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	response, err := c.http.Do(r)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -31,6 +31,8 @@
 	storeProxy *proxy
 	hosts      []*host
 	executions *executions
+	// accounts are the client accounts; nil if requests need none.
+	accounts *accounts
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -160,7 +162,7 @@
 		return r
 	}
 	d.store.put("op/config", map[string]any{
-		"Version": version,
+		"Version": version, "Tenants": d.accounts.tenants(),
 		"Routes": []any{
 			route("all", "/all/", "idempotent", map[string]any{"Gather": gather, "TopK": topK, "MinShare": minShare}),
 			route("one", "/one/", "idempotent", map[string]any{"Service": "single"}),
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -53,6 +53,7 @@
 		"peer": h.address(portPeer), "stats": h.address(portMetrics), "beat": h.address(portHeartbeat),
 		"cores": 0.4, "store": store, "seeds": seeds, "memory": h.memory, "files": h.descriptors, "rollouts": true,
 		"stop":   map[string]any{"grace": 6},
+		"caps":   map[string]any{"window": capWindow.Seconds(), "excess": capExcess, "slack": capSlack, "zones": []string{zoneName(0), zoneName(1), zoneName(2)}},
 		"budget": map[string]any{"ratio": 0.2, "burst": 58, "window": 10},
 	})
 	if err != nil {
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -23,6 +23,8 @@
 	// lastDisturbance is the time of the last fault of the store or of a host,
 	// in Unix nanoseconds.
 	lastDisturbance atomic.Int64
+	// accounts are the client accounts; nil if requests need none.
+	accounts atomic.Pointer[accounts]
 }
 
 func (e *executions) add(id string) {
@@ -148,6 +150,7 @@
 	if !isUnchanged(r, id, body) {
 		s.executions.addViolation("server %s of %s got request %s changed: %s %s with a body of %d bytes", s.id, s.service, id, r.Method, r.RequestURI, len(body))
 	}
+	s.executions.accounts.Load().check(r.Header, id)
 	s.executions.add(id + "/" + s.service)
 	if s.trial.fail(w, r, s.service, id) {
 		return
