--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -95,6 +95,8 @@
 	}
 	r.bounds.SetMembers(members, now)
 	r.rollouts.SetMembers(deciders)
-	r.caps.SetMembers(members, now)
-	r.updateCaps()
+	if r.caps.IsEnforced() {
+		r.caps.SetMembers(members, now)
+		r.updateCaps()
+	}
 }
