--- a/canary/duty.go
+++ b/canary/duty.go
@@ -1,9 +1,11 @@
 package canary
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -130,13 +132,7 @@
 	d.ranks = slices.DeleteFunc(slices.Clone(t.members), func(m Member) bool { return !m.Live || !m.Joined })
 	slices.SortFunc(d.ranks, func(a, b Member) int {
 		left, right := hash(r.order.Service, a.Name), hash(r.order.Service, b.Name)
-		if left != right {
-			if left > right {
-				return -1
-			}
-			return 1
-		}
-		return compareNames(a.Name, b.Name)
+		return cmp.Or(cmp.Compare(right, left), strings.Compare(a.Name, b.Name))
 	})
 	d.self = slices.IndexFunc(d.ranks, func(m Member) bool { return m.Name == t.host })
 	switch isDecider := d.self >= 0 && d.self < deciders; {
--- a/canary/send.go
+++ b/canary/send.go
@@ -18,7 +18,8 @@
 	Service  string
 	Revision uint64
 	Key      Key
-	// IsCold is set if the server was cold, so that its time says nothing.
+	// IsCold is set if the server was cold, or the move has just begun, so that the time
+	// says nothing.
 	IsCold bool
 }
 
@@ -36,7 +37,7 @@
 	r := s.rollout
 	switch r.stage.(type) {
 	case Moving:
-		return Plan{Spare: true}
+		return Plan{Spare: !r.isHalted}
 	case Observing:
 		var p Plan
 		if !now.Before(r.completeBy()) && !r.isHalted {
@@ -50,8 +51,12 @@
 	return Plan{}
 }
 
+// settleTime is the time from the beginning of the move in which all hosts open their
+// connections to the servers of the target version.
+const settleTime = 500 * time.Millisecond
+
 // Begin counts a send to a server and returns its ticket.
-func (t *Table) Begin(service, route, server, zone, version string, isCold bool) Ticket {
+func (t *Table) Begin(service, route, server, zone, version string, isCold bool, now time.Time) Ticket {
 	if t.active.Load() == 0 {
 		return Ticket{}
 	}
@@ -71,7 +76,7 @@
 	} else {
 		r.open++
 	}
-	return Ticket{Service: service, Revision: r.order.Revision, Key: key, IsCold: isCold}
+	return Ticket{Service: service, Revision: r.order.Revision, Key: key, IsCold: isCold || isMove && now.Sub(r.changedAt) < settleTime}
 }
 
 func (r *rollout) row(key Key) *row {
@@ -117,7 +122,10 @@
 	case Neutral:
 	}
 	if ticket.Key.IsTarget && !r.isHalted {
-		r.isHalted = judge(r.ownRows(), t.fleet.CountVersion(ticket.Service, r.order.Target)).Log >= logStop
+		if judge(r.ownRows(), t.fleet.CountVersion(ticket.Service, r.order.Target)).Log >= logStop {
+			r.isHalted = true
+			t.publish()
+		}
 	}
 }
 
--- a/canary/table.go
+++ b/canary/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,7 +110,7 @@
 
 // SetMembers sets the hosts that are known now, the local one included.
 func (t *Table) SetMembers(members []Member) {
-	slices.SortFunc(members, func(a, b Member) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if slices.Equal(members, t.members) {
@@ -126,17 +127,6 @@
 	}
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
@@ -161,7 +151,7 @@
 		isSame := r.order.Target == o.Target && r.order.Duration == o.Duration
 		if isSame && (s.isRestored || s.status.Revision > o.Revision) {
 			r.order = o
-			s.isRestored, s.status.Revision, r.duty = false, 0, duty{}
+			s.isRestored, s.status.Revision, r.duty = false, 0, duty{self: -1}
 			return
 		}
 	}
@@ -180,6 +170,7 @@
 		rows:      make(map[Key]*row),
 		peers:     make(map[source]*peer),
 		sums:      make(map[Key]Tally),
+		duty:      duty{self: -1},
 	}
 	s.follow(now)
 }
@@ -193,7 +184,7 @@
 	for _, s := range t.services {
 		s.isRestored, s.status.Revision = true, 0
 		if s.rollout != nil {
-			s.rollout.duty = duty{}
+			s.rollout.duty = duty{self: -1}
 		}
 	}
 	t.publish()
@@ -241,7 +232,7 @@
 	if s := t.services[name]; s != nil && s.status.Revision < revision {
 		s.status.Revision = 0
 		if s.rollout != nil {
-			s.rollout.duty = duty{}
+			s.rollout.duty = duty{self: -1}
 		}
 	}
 }
@@ -318,16 +309,19 @@
 func (s *service) versions() fleet.Versions {
 	if r := s.rollout; r != nil {
 		switch r.stage.(type) {
-		case Moving, Complete:
+		case Complete:
 			return fleet.OnlyVersion{Version: r.order.Target}
-		default:
-			denied := append(slices.Clone(s.denied), r.order.Target)
-			if s.status.Stage != nil && rankOf(s.status.Stage) < rankOf(Complete{}) && s.status.Target != r.order.Target {
-				// The target of a former order that got no verdict.
-				denied = append(denied, s.status.Target)
+		case Moving:
+			if !r.isHalted {
+				return fleet.OnlyVersion{Version: r.order.Target}
 			}
-			return fleet.OtherVersions{Denied: denied}
 		}
+		denied := append(slices.Clone(s.denied), r.order.Target)
+		if s.status.Stage != nil && rankOf(s.status.Stage) < rankOf(Complete{}) && s.status.Target != r.order.Target {
+			// The target of a former order that got no verdict.
+			denied = append(denied, s.status.Target)
+		}
+		return fleet.OtherVersions{Denied: denied}
 	}
 	if _, isComplete := s.status.Stage.(Complete); isComplete && !slices.Contains(s.denied, s.status.Target) {
 		return fleet.OnlyVersion{Version: s.status.Target}
--- a/relay/rollout.go
+++ b/relay/rollout.go
@@ -49,7 +49,7 @@
 		return
 	}
 	choice := x.request.Choice
-	x.ticket = t.rollouts.Begin(choice.Service, x.state.request.Route.Name, choice.ID, choice.Zone, choice.Version, choice.IsCold)
+	x.ticket = t.rollouts.Begin(choice.Service, x.state.request.Route.Name, choice.ID, choice.Zone, choice.Version, choice.IsCold, x.began)
 	if x.ticket.Key.IsTarget {
 		x.state.trials++
 	}
