--- a/canary/judge.go
+++ b/canary/judge.go
@@ -86,6 +86,9 @@
 	tests := make(map[stratum]Evidence, len(strata))
 	for of, samples := range strata {
 		if e, ok := test(samples, servers); ok {
+			if float64(e.Bad) < of.minShare()*float64(e.Count) {
+				e.Log = min(e.Log, 0)
+			}
 			tests[of] = e
 			groups[of.kind][asIndex(of.isMove)]++
 		}
@@ -140,6 +143,26 @@
 	return kindNames[s.kind] + s.group
 }
 
+// Least shares of slow or lost exchanges that speak against a version. Pauses and busy
+// hosts make some times slow, and not at the same time for both versions. Sends of the
+// move have no others beside them.
+const (
+	minSlowShare     = 0.15
+	minSlowShareMove = 0.25
+)
+
+// minShare returns the least share of bad outcomes that speaks against a version.
+func (s stratum) minShare() float64 {
+	switch {
+	case s.kind == failures || s.kind == failuresOfRoute:
+		return 0
+	case s.isMove:
+		return minSlowShareMove
+	default:
+		return minSlowShare
+	}
+}
+
 func asIndex(isMove bool) int {
 	if isMove {
 		return 1
