--- a/feed/drill_test.go
+++ b/feed/drill_test.go
@@ -96,11 +96,12 @@
 }
 
 // known returns the version of an item that the host has, and whether it is the newest one.
+// One that was written before in an earlier era, at the same revision, is another version.
 func (h *worldHost) known(item Item) (Item, bool) {
 	h.syncer.mu.Lock()
 	defer h.syncer.mu.Unlock()
 	held, ok := h.syncer.history.items[item.Key]
-	return held, ok && held.Position.Revision == item.Position.Revision && !held.MayReturn && held.isEqual(item)
+	return held, ok && held.Position.Revision == item.Position.Revision && held.Position.Era >= item.Position.Era && !held.MayReturn && held.isEqual(item)
 }
 
 // isOvertaken reports whether the host has learned a later change of the era in which it
