--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -27,9 +27,9 @@
 	draining atomic.Bool
 	// drainUntil is set before draining.
 	drainUntil time.Time
-	// door and table bound the connections and heads; nil sets no bound.
-	door  *intake.Door
-	table *intake.Table
+	// connLimiter and table bound the connections and heads; nil sets no bound.
+	connLimiter *intake.ConnLimiter
+	table       *intake.Table
 }
 
 // Accept implements net.Listener.
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -33,7 +33,7 @@
 func (l *listener) limit(table *intake.Table, connections int, limiter limits.Limiter) {
 	limiter.Table = table
 	l.limiter = &limiter
-	l.tcp.door = table.NewDoor(connections)
+	l.tcp.connLimiter = table.NewConnLimiter(connections)
 	l.tcp.table = table
 }
 
@@ -43,9 +43,9 @@
 // taken is what a connection holds of the bounds of its listener. The zero value holds
 // nothing and counts nothing.
 type taken struct {
-	table *intake.Table
-	door  *intake.Door
-	conn  *intake.Conn
+	table       *intake.Table
+	connLimiter *intake.ConnLimiter
+	conn        *intake.Conn
 
 	mu sync.Mutex
 	// inHead is set while the next bytes belong to a head.
@@ -57,11 +57,11 @@
 // enter enters an accepted connection in the bounds of the listener. It returns false if the
 // connection must be closed.
 func (a *acceptor) enter(c *trackedConn) bool {
-	if a.door == nil {
+	if a.connLimiter == nil {
 		return true
 	}
-	c.taken.table, c.taken.door, c.taken.inHead = a.table, a.door, true
-	conn, decision := a.door.Open(addressOf(c), c, time.Now())
+	c.taken.table, c.taken.connLimiter, c.taken.inHead = a.table, a.connLimiter, true
+	conn, decision := a.connLimiter.Open(addressOf(c), c, time.Now())
 	granted, ok := decision.(intake.Granted)
 	c.taken.conn = conn
 	for _, holder := range granted.Evicted {
@@ -91,7 +91,7 @@
 // beforeRead reserves memory for the next bytes of a head. It returns their bound.
 func (c *trackedConn) beforeRead(p []byte) ([]byte, error) {
 	t := &c.taken
-	if t.door == nil {
+	if t.connLimiter == nil {
 		return p, nil
 	}
 	t.mu.Lock()
@@ -121,10 +121,10 @@
 // afterRead records the bytes that have arrived.
 func (c *trackedConn) afterRead(n int) {
 	t := &c.taken
-	if t.door == nil || n <= 0 {
+	if t.connLimiter == nil || n <= 0 {
 		return
 	}
-	t.door.Receive(t.conn, n)
+	t.connLimiter.Receive(t.conn, n)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.inHead {
@@ -138,7 +138,7 @@
 
 // record follows the states of a connection.
 func (t *taken) record(state http.ConnState) {
-	if t.door == nil {
+	if t.connLimiter == nil {
 		return
 	}
 	t.mu.Lock()
@@ -147,13 +147,13 @@
 	case http.StateNew:
 	case http.StateActive:
 		t.inHead = false
-		t.door.Occupy(t.conn)
+		t.connLimiter.Occupy(t.conn)
 		if t.head != nil {
 			t.table.Hold(t.head)
 		}
 	case http.StateIdle:
 		t.inHead, t.headRead = true, 0
-		t.door.Free(t.conn, time.Now())
+		t.connLimiter.Free(t.conn, time.Now())
 		t.endHead()
 	case http.StateClosed, http.StateHijacked:
 		t.endHead()
@@ -170,8 +170,8 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.TCPConn.Close()
-	if c.taken.door != nil && c.taken.conn != nil {
-		c.taken.door.Close(c.taken.conn)
+	if c.taken.connLimiter != nil && c.taken.conn != nil {
+		c.taken.connLimiter.Close(c.taken.conn)
 	}
 	return err
 }
@@ -193,11 +193,11 @@
 func (r *Relay) limitListeners() {
 	memory := int64(r.settings.MemoryMB) << 20
 	r.intake = intake.NewTable(intake.LimitsFor(memory))
-	doors := intake.DoorsFor(memory, descriptorLimit(r.settings.Descriptors))
-	r.clientListener.limit(r.intake, doors.Clients, limits.Limiter{Weight: 1})
-	r.peerListener.limit(r.intake, doors.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
+	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(r.settings.Descriptors))
+	r.clientListener.limit(r.intake, connLimits.Clients, limits.Limiter{Weight: 1})
+	r.peerListener.limit(r.intake, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
 	for _, l := range []*listener{r.readyListener, r.metricsListener} {
-		l.limit(r.intake, doors.Status, limits.Limiter{Largest: maxStatusHead, Weight: 1})
+		l.limit(r.intake, connLimits.Status, limits.Limiter{Largest: maxStatusHead, Weight: 1})
 		l.server.MaxHeaderBytes = maxStatusHead
 		l.server.IdleTimeout = clientIdleTimeout
 	}
@@ -206,8 +206,8 @@
 // limitListeners bounds what the listeners of the host take in.
 func (d *Daemon) limitListeners() {
 	table := intake.NewTable(intake.LimitsFor(memoryLimit))
-	doors := intake.DoorsFor(memoryLimit, descriptorLimit(0))
-	d.callerListener.limit(table, doors.Clients, limits.Limiter{Weight: 1})
-	d.peerListener.limit(table, doors.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
-	d.adminListener.limit(table, doors.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1})
+	connLimits := intake.ConnLimitsFor(memoryLimit, descriptorLimit(0))
+	d.callerListener.limit(table, connLimits.Clients, limits.Limiter{Weight: 1})
+	d.peerListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
+	d.adminListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1})
 }
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -53,8 +53,8 @@
 
 // awaitPermit waits for the decision on a request of an account with a cap.
 func (r *Relay) awaitPermit(ctx context.Context, c quota.Cap, patience time.Duration) quota.Decision {
-	waiting, parcels, next := r.caps.Begin(c, patience, time.Now())
-	r.sendClaims(parcels)
+	waiting, messages, next := r.caps.Begin(c, patience, time.Now())
+	r.sendClaims(messages)
 	select {
 	case d := <-waiting.Decided:
 		return d
@@ -70,8 +70,8 @@
 			r.caps.Cancel(waiting)
 			return r.afterCancel(c, <-waiting.Decided)
 		case <-timer.C:
-			parcels, next := r.caps.Step(waiting, time.Now())
-			r.sendClaims(parcels)
+			messages, next := r.caps.Step(waiting, time.Now())
+			r.sendClaims(messages)
 			timer.Reset(work.TimerDelay(time.Until(next)))
 		}
 	}
@@ -85,11 +85,11 @@
 	return quota.Refused{}
 }
 
-func (r *Relay) sendClaims(parcels []quota.Parcel) {
-	if len(parcels) == 0 {
+func (r *Relay) sendClaims(messages []quota.Message) {
+	if len(messages) == 0 {
 		return
 	}
-	if err := r.permits.SendClaims(parcels); err != nil {
+	if err := r.permits.SendClaims(messages); err != nil {
 		r.log.Debug().Err(err).Msg("claims for permits not sent")
 	}
 }
@@ -128,6 +128,6 @@
 }
 
 // AcceptReplies implements peer.PermitHandler.
-func (h permitHandler) AcceptReplies(host string, replies []quota.Reply) []quota.Parcel {
+func (h permitHandler) AcceptReplies(host string, replies []quota.Reply) []quota.Message {
 	return h.caps.Accept(host, replies, time.Now())
 }
--- a/intake/door.go
+++ b/intake/connections.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Door bounds the connections of one listener. Its state is under the lock of its table.
-type Door struct {
+// ConnLimiter bounds the connections of one listener. Its state is under the lock of its table.
+type ConnLimiter struct {
 	table *Table
 	limit int
 	conns map[*Conn]bool
@@ -11,20 +11,20 @@
 	byAddress map[string]int
 }
 
-// NewDoor returns a bound of limit connections; zero sets none.
-func (t *Table) NewDoor(limit int) *Door {
-	d := &Door{table: t, limit: limit, conns: make(map[*Conn]bool), byAddress: make(map[string]int)}
+// NewConnLimiter returns a bound of limit connections; zero sets none.
+func (t *Table) NewConnLimiter(limit int) *ConnLimiter {
+	d := &ConnLimiter{table: t, limit: limit, conns: make(map[*Conn]bool), byAddress: make(map[string]int)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doors[d] = true
+	t.limiters[d] = true
 	return d
 }
 
 // Open enters a connection that was accepted. If the bound is reached, a connection without
-// a whole request gives way: one that has served none before others, then one of an address
+// a whole request is closed: one that has served none before others, then one of an address
 // with more than its share, then the one that has sent least and stands longest. Without
 // such a connection the new one is refused, and the caller closes it.
-func (d *Door) Open(address string, holder Holder, now time.Time) (*Conn, Decision) {
+func (d *ConnLimiter) Open(address string, holder Holder, now time.Time) (*Conn, Decision) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
 	granted := Granted{}
@@ -45,8 +45,8 @@
 	return c, granted
 }
 
-// choose returns the connection that gives way to one from an address, or nil.
-func (d *Door) choose(address string, now time.Time) *Conn {
+// choose returns the connection that is closed for one from an address, or nil.
+func (d *ConnLimiter) choose(address string, now time.Time) *Conn {
 	addresses := len(d.byAddress)
 	if d.byAddress[address] == 0 {
 		addresses++
@@ -64,7 +64,7 @@
 	return worst
 }
 
-func (d *Door) goesBefore(a, b *Conn, share int) bool {
+func (d *ConnLimiter) goesBefore(a, b *Conn, share int) bool {
 	if newA, newB := a.Served == 0, b.Served == 0; newA != newB {
 		return newA
 	}
@@ -81,21 +81,21 @@
 }
 
 // Receive records bytes that have arrived.
-func (d *Door) Receive(c *Conn, bytes int) {
+func (d *ConnLimiter) Receive(c *Conn, bytes int) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
 	c.Received += int64(bytes)
 }
 
 // Occupy records that the head of a request has been read.
-func (d *Door) Occupy(c *Conn) {
+func (d *ConnLimiter) Occupy(c *Conn) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
 	c.Busy = true
 }
 
 // Free records the end of a request.
-func (d *Door) Free(c *Conn, now time.Time) {
+func (d *ConnLimiter) Free(c *Conn, now time.Time) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
 	c.Busy = false
@@ -104,13 +104,13 @@
 }
 
 // Close removes a connection.
-func (d *Door) Close(c *Conn) {
+func (d *ConnLimiter) Close(c *Conn) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
 	d.remove(c)
 }
 
-func (d *Door) remove(c *Conn) {
+func (d *ConnLimiter) remove(c *Conn) {
 	if !d.conns[c] {
 		return
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -151,14 +151,14 @@
 	return Limits{Memory: int64(memoryShare * float64(memory)), Stall: DefaultStall, Window: DefaultWindow, Least: DefaultLeast}
 }
 
-// Doors are the bounds on the connections of the listeners; zero sets none.
-type Doors struct{ Clients, Peers, Status int }
+// ConnLimits are the bounds on the connections of the listeners; zero sets none.
+type ConnLimits struct{ Clients, Peers, Status int }
 
-// DoorsFor returns the bounds of a host with the given memory in bytes and number of
+// ConnLimitsFor returns the bounds of a host with the given memory in bytes and number of
 // descriptors; zero means that it is not known.
-func DoorsFor(memory int64, descriptors int) Doors {
+func ConnLimitsFor(memory int64, descriptors int) ConnLimits {
 	if descriptors <= 0 && memory <= 0 {
-		return Doors{}
+		return ConnLimits{}
 	}
 	bound := func(share float64) int {
 		most := float64(descriptors) * share
@@ -167,5 +167,5 @@
 		}
 		return max(leastConnections, int(most))
 	}
-	return Doors{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare)}
+	return ConnLimits{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare)}
 }
--- a/intake/script_test.go
+++ b/intake/script_test.go
@@ -24,12 +24,12 @@
 }
 
 type script struct {
-	table   *Table
-	door    *Door
-	entries map[string]*Entry
-	conns   map[string]*Conn
-	evicted []string
-	now     time.Time
+	table       *Table
+	connLimiter *ConnLimiter
+	entries     map[string]*Entry
+	conns       map[string]*Conn
+	evicted     []string
+	now         time.Time
 }
 
 // named is a Holder that notes its eviction.
@@ -46,10 +46,10 @@
 	switch d.Cmd {
 	case "account":
 		s.table = NewTable(Limits{Memory: number("memory"), Stall: 500 * time.Millisecond, Window: 10 * time.Second, Least: 4096})
-	case "door":
-		s.door = s.table.NewDoor(int(number("limit")))
+	case "limiter":
+		s.connLimiter = s.table.NewConnLimiter(int(number("limit")))
 	case "sizes":
-		return fmt.Sprintf("%d %+v\n", LimitsFor(number("memory")<<20).Memory, DoorsFor(number("memory")<<20, int(number("files"))))
+		return fmt.Sprintf("%d %+v\n", LimitsFor(number("memory")<<20).Memory, ConnLimitsFor(number("memory")<<20, int(number("files"))))
 	case "wait":
 		s.now = s.now.Add(props.Duration(t, d, "for"))
 	case "begin":
@@ -72,17 +72,17 @@
 	case "end":
 		s.table.End(s.entries[text("name")])
 	case "open":
-		conn, decision := s.door.Open(text("from"), named{text("name"), s}, s.now)
+		conn, decision := s.connLimiter.Open(text("from"), named{text("name"), s}, s.now)
 		s.conns[text("name")] = conn
 		return s.decide(decision)
 	case "receive":
-		s.door.Receive(s.conns[text("name")], int(number("bytes")))
+		s.connLimiter.Receive(s.conns[text("name")], int(number("bytes")))
 	case "occupy":
-		s.door.Occupy(s.conns[text("name")])
+		s.connLimiter.Occupy(s.conns[text("name")])
 	case "free":
-		s.door.Free(s.conns[text("name")], s.now)
+		s.connLimiter.Free(s.conns[text("name")], s.now)
 	case "close":
-		s.door.Close(s.conns[text("name")])
+		s.connLimiter.Close(s.conns[text("name")])
 	case "counts":
 		return fmt.Sprintf("%+v\n", s.table.Counts())
 	default:
--- a/intake/table.go
+++ b/intake/table.go
@@ -14,7 +14,7 @@
 	entries map[*Entry]bool
 	// byAddress is the memory that is reserved for each address.
 	byAddress map[string]int64
-	doors     map[*Door]bool
+	limiters  map[*ConnLimiter]bool
 	counts    Counts
 	// begun counts the entries and connections so far.
 	begun uint64
@@ -26,7 +26,7 @@
 		limits:    limits,
 		entries:   make(map[*Entry]bool),
 		byAddress: make(map[string]int64),
-		doors:     make(map[*Door]bool),
+		limiters:  make(map[*ConnLimiter]bool),
 		counts:    Counts{Bound: limits.Memory},
 	}
 }
@@ -36,7 +36,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counts := t.counts
-	for d := range t.doors {
+	for d := range t.limiters {
 		counts.Connections += len(d.conns)
 	}
 	return counts
@@ -54,7 +54,7 @@
 }
 
 // Reserve asks for more memory for a message. If the account is full, messages that have
-// made no progress for Limits.Stall give way, and those of addresses that hold more than
+// made no progress for Limits.Stall are evicted, and those of addresses that hold more than
 // their share to one that holds less. A message that is refused is ended, unless it is
 // held.
 func (t *Table) Reserve(e *Entry, bytes int64, now time.Time) Decision {
@@ -83,7 +83,7 @@
 	return granted
 }
 
-// makeRoom chooses the messages that give way to one that asks for memory. It returns
+// makeRoom chooses the messages that are evicted for one that asks for memory. It returns
 // false if too few can.
 func (t *Table) makeRoom(asking *Entry, bytes int64, now time.Time) ([]*Entry, bool) {
 	missing := t.counts.Memory + bytes - t.limits.Memory
@@ -135,7 +135,7 @@
 	}
 }
 
-// goesBefore reports whether a gives way before b: the one that has moved fewer bytes for
+// goesBefore reports whether a is evicted before b: the one that has moved fewer bytes for
 // the time that it has stood, and of equals the one that has stood longer.
 func goesBefore(a, b *Entry, now time.Time) bool {
 	stoodA, stoodB := now.Sub(a.Began), now.Sub(b.Began)
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -179,7 +179,7 @@
 	}
 }
 
-// reserve asks for memory and ends the messages that give way.
+// reserve asks for memory and ends the messages that are evicted.
 func reserve(table *intake.Table, e *intake.Entry, bytes int64, now time.Time) *Refusal {
 	switch d := table.Reserve(e, bytes, now).(type) {
 	case intake.Granted:
--- a/peer/claims.go
+++ b/peer/claims.go
@@ -34,9 +34,9 @@
 
 // SendClaims sends claims, a datagram for each. It tries all of them and returns the last
 // error.
-func (s *PermitSocket) SendClaims(parcels []quota.Parcel) error {
+func (s *PermitSocket) SendClaims(messages []quota.Message) error {
 	var last error
-	for _, p := range parcels {
+	for _, p := range messages {
 		data, err := proto.Marshal(&peerpb.Datagram{Host: s.host, Claims: []*peerpb.Claim{encodeClaim(p.Claim)}})
 		if err != nil {
 			last = oops.Wrapf(err, "claim")
--- a/peer/claims_test.go
+++ b/peer/claims_test.go
@@ -30,7 +30,7 @@
 	return replies
 }
 
-func (r claimRecorder) AcceptReplies(_ string, replies []quota.Reply) []quota.Parcel {
+func (r claimRecorder) AcceptReplies(_ string, replies []quota.Reply) []quota.Message {
 	for _, reply := range replies {
 		r.replies <- reply
 	}
@@ -64,12 +64,12 @@
 			Number: uint64(i), Want: 2, Hosts: 61,
 			Cap: quota.Cap{Account: "water", Rate: 1.5, Burst: 18, Version: 7},
 		}
-		require.NoError(t, sockets[0].SendClaims([]quota.Parcel{{Host: "owner", Address: address, Claim: claim}}))
+		require.NoError(t, sockets[0].SendClaims([]quota.Message{{Host: "owner", Address: address, Claim: claim}}))
 		require.Equal(t, claim, <-handlers[1].claims)
 		require.Equal(t, quota.Reply{Number: uint64(i), Result: result}, <-handlers[0].replies)
 	}
 	back := quota.Claim{Cap: quota.Cap{Account: "water"}, Want: 1, Back: 2}
-	require.NoError(t, sockets[0].SendClaims([]quota.Parcel{{Host: "owner", Address: address, Claim: back}}))
+	require.NoError(t, sockets[0].SendClaims([]quota.Message{{Host: "owner", Address: address, Claim: back}}))
 	require.Equal(t, back, <-handlers[1].claims)
 }
 
--- a/peer/fields_test.go
+++ b/peer/fields_test.go
@@ -113,7 +113,7 @@
 
 func (recordingPermits) AnswerClaims([]quota.Claim) []quota.Reply { return nil }
 
-func (recordingPermits) AcceptReplies(string, []quota.Reply) []quota.Parcel { return nil }
+func (recordingPermits) AcceptReplies(string, []quota.Reply) []quota.Message { return nil }
 
 // transmit encodes a message as bytes and decodes them.
 func transmit[M proto.Message](t *testing.T, sent, received M) M {
--- a/peer/permits.go
+++ b/peer/permits.go
@@ -31,7 +31,7 @@
 	AnswerClaims(claims []quota.Claim) []quota.Reply
 	// AcceptReplies applies the replies of a host to such claims, and returns what to
 	// send.
-	AcceptReplies(host string, replies []quota.Reply) []quota.Parcel
+	AcceptReplies(host string, replies []quota.Reply) []quota.Message
 }
 
 // PermitSocket sends and receives asks for permits, the grants that answer them, and
--- a/peer/permits_test.go
+++ b/peer/permits_test.go
@@ -132,4 +132,4 @@
 
 func (r permitRecorder) AnswerClaims([]quota.Claim) []quota.Reply { return nil }
 
-func (r permitRecorder) AcceptReplies(string, []quota.Reply) []quota.Parcel { return nil }
+func (r permitRecorder) AcceptReplies(string, []quota.Reply) []quota.Message { return nil }
--- a/quota/cap.go
+++ b/quota/cap.go
@@ -90,8 +90,8 @@
 func (Over) result()      {}
 func (Elsewhere) result() {}
 
-// Parcel is a claim for one host.
-type Parcel struct {
+// Message is a claim for one host.
+type Message struct {
 	// Host and Address name the receiver.
 	Host    string
 	Address string
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -184,15 +184,15 @@
 		return
 	}
 	h := running[m.random.IntN(len(running))]
-	r, parcels, next := h.table.Begin(h.cap, modelPatience, m.now)
-	m.send(h, parcels)
+	r, messages, next := h.table.Begin(h.cap, modelPatience, m.now)
+	m.send(h, messages)
 	h.waiting = append(h.waiting, &modelRequest{Request: r, next: next, host: h.number})
 	m.settle(h)
 }
 
 // send sends claims to their hosts, and the replies back.
-func (m *model) send(h *modelHost, parcels []Parcel) {
-	for _, p := range parcels {
+func (m *model) send(h *modelHost, messages []Message) {
+	for _, p := range messages {
 		m.deliver(h, p.Address, func(to *modelHost) {
 			replies := to.table.Answer([]Claim{p.Claim}, m.now)
 			if len(replies) == 0 {
@@ -254,9 +254,9 @@
 	}
 	for _, r := range h.waiting {
 		if !m.now.Before(r.next) {
-			var parcels []Parcel
-			parcels, r.next = h.table.Step(r.Request, m.now)
-			m.send(h, parcels)
+			var messages []Message
+			messages, r.next = h.table.Step(r.Request, m.now)
+			m.send(h, messages)
 		}
 	}
 	m.settle(h)
--- a/quota/request.go
+++ b/quota/request.go
@@ -86,7 +86,7 @@
 // Begin asks for a permit for a request, which is refused if there is none after the time
 // patience. It returns claims to send; Step is to be called at the time that it returns,
 // unless the request is decided before.
-func (t *Table) Begin(c Cap, patience time.Duration, now time.Time) (*Request, []Parcel, time.Time) {
+func (t *Table) Begin(c Cap, patience time.Duration, now time.Time) (*Request, []Message, time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Request{
@@ -110,8 +110,8 @@
 		t.finish(r, Admitted{From: s.from})
 		return r, nil, r.endAt
 	}
-	parcels := t.askNext(r, now)
-	return r, parcels, r.stepAt()
+	messages := t.askNext(r, now)
+	return r, messages, r.stepAt()
 }
 
 func (r *Request) stepAt() time.Time {
@@ -122,7 +122,7 @@
 }
 
 // Step asks further hosts for a request that is not decided yet.
-func (t *Table) Step(r *Request, now time.Time) ([]Parcel, time.Time) {
+func (t *Table) Step(r *Request, now time.Time) ([]Message, time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.decided {
@@ -146,7 +146,7 @@
 // askNext asks the next host for the request: the owner of this host's zone, then those of
 // other zones. Owners that left a claim without an answer come last; those that said that
 // their share is used up are not asked for emptyTime.
-func (t *Table) askNext(r *Request, now time.Time) []Parcel {
+func (t *Table) askNext(r *Request, now time.Time) []Message {
 	r.nextAt = time.Time{}
 	next := t.nextToAsk(r, now)
 	if next == nil {
@@ -155,11 +155,11 @@
 		}
 		return nil
 	}
-	parcels := t.ask(r, next, now)
+	messages := t.ask(r, next, now)
 	if !r.decided && len(r.waiting) > 0 {
 		r.nextAt = now.Add(r.interval)
 	}
-	return parcels
+	return messages
 }
 
 // maxAsked is the number of hosts that are asked for one request.
@@ -200,7 +200,7 @@
 }
 
 // ask asks a host for permits. This host decides at once.
-func (t *Table) ask(r *Request, p *share.Peer, now time.Time) []Parcel {
+func (t *Table) ask(r *Request, p *share.Peer, now time.Time) []Message {
 	r.asked[p.Name] = true
 	claim := Claim{Cap: r.cap, Want: r.stock.want(now)}
 	if self := t.members.Peers[t.members.Self]; self != nil && self.Zone == p.Zone {
@@ -217,7 +217,7 @@
 	claim.Number = t.claimed
 	t.claims[claim.Number] = &openClaim{request: r, host: p.Name, sentAt: now}
 	r.waiting[claim.Number] = true
-	return []Parcel{{Host: p.Name, Address: p.Address, Claim: claim}}
+	return []Message{{Host: p.Name, Address: p.Address, Claim: claim}}
 }
 
 // want returns the number of permits to claim: one, and those for the requests that are
@@ -228,11 +228,11 @@
 
 // Accept applies replies of a host to claims. It returns the claims to send: permits that
 // are given back, and claims to a host that was named as the owner.
-func (t *Table) Accept(host string, replies []Reply, now time.Time) []Parcel {
+func (t *Table) Accept(host string, replies []Reply, now time.Time) []Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.silent, host)
-	var parcels []Parcel
+	var messages []Message
 	for _, reply := range replies {
 		open := t.claims[reply.Number]
 		if open == nil || open.host != host {
@@ -242,18 +242,18 @@
 		r := open.request
 		delete(r.waiting, reply.Number)
 		if !r.decided {
-			parcels = append(parcels, t.apply(r, host, reply.Result, now)...)
+			messages = append(messages, t.apply(r, host, reply.Result, now)...)
 			continue
 		}
 		if g, ok := reply.Result.(Granted); ok {
-			parcels = append(parcels, t.giveBack(r.cap, host, g.Permits)...)
+			messages = append(messages, t.giveBack(r.cap, host, g.Permits)...)
 		}
 	}
-	return parcels
+	return messages
 }
 
 // apply applies the decision of a host to a request that is not decided.
-func (t *Table) apply(r *Request, host string, result Result, now time.Time) []Parcel {
+func (t *Table) apply(r *Request, host string, result Result, now time.Time) []Message {
 	switch result := result.(type) {
 	case Granted:
 		if result.Permits < 1 {
@@ -261,9 +261,9 @@
 		}
 		t.finish(r, Admitted{From: host})
 		if s := r.stock; result.Permits > 1 {
-			parcels := t.giveBack(r.cap, s.from, s.permits)
+			messages := t.giveBack(r.cap, s.from, s.permits)
 			s.permits, s.from, s.until = result.Permits-1, host, now.Add(stockTime)
-			return parcels
+			return messages
 		}
 		return nil
 	case Over:
@@ -282,7 +282,7 @@
 }
 
 // giveBack returns the claims that give permits back to the host that granted them.
-func (t *Table) giveBack(c Cap, host string, permits int) []Parcel {
+func (t *Table) giveBack(c Cap, host string, permits int) []Message {
 	p := t.members.Peers[host]
 	switch {
 	case permits <= 0 || p == nil:
@@ -291,28 +291,28 @@
 		t.takeBack(c, permits)
 		return nil
 	}
-	return []Parcel{{Host: host, Address: p.Address, Claim: Claim{Cap: c, Back: permits}}}
+	return []Message{{Host: host, Address: p.Address, Claim: Claim{Cap: c, Back: permits}}}
 }
 
 // GiveBack gives the permit of a request back that provably was not run.
-func (t *Table) GiveBack(c Cap, from string) []Parcel {
+func (t *Table) GiveBack(c Cap, from string) []Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.giveBack(c, from, 1)
 }
 
 // Expire returns the claims that give back permits that were not used in time.
-func (t *Table) Expire(now time.Time) []Parcel {
+func (t *Table) Expire(now time.Time) []Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var parcels []Parcel
+	var messages []Message
 	for account, s := range t.stocks {
 		if s.permits > 0 && !now.Before(s.until) {
-			parcels = append(parcels, t.giveBack(Cap{Account: account}, s.from, s.permits)...)
+			messages = append(messages, t.giveBack(Cap{Account: account}, s.from, s.permits)...)
 			s.permits = 0
 		}
 	}
-	return parcels
+	return messages
 }
 
 // Cancel ends the wait of a request whose client has left.
