--- a/admit/limit.go
+++ b/admit/limit.go
@@ -10,8 +10,8 @@
 	minLimit   = 16
 	startLimit = 128
 	maxLimit   = 1024
-	// targetLag is the lag that a host may always have. The shortest objective of callers
-	// is 80 ms; with this lag on two hosts in a row, half of it is left.
+	// targetLag is the lag that a host may always have. A gathered request meets it on two
+	// hosts in a row. It does not follow the response-time objectives of the routes.
 	targetLag = 20 * time.Millisecond
 	// leastSamples is the number of lags that an interval needs. The lag of a single timer
 	// may be due to other processes on the machine.
--- a/canary/duty.go
+++ b/canary/duty.go
@@ -282,7 +282,7 @@
 			}
 			actions = append(actions, Tell{Addresses: all, Report: t.bare(r, now)})
 		} else {
-			// The deciding hosts hear at once that this host has followed.
+			// The deciding hosts learn at once that this host has followed.
 			d.nextReport = now
 		}
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -137,7 +137,7 @@
 	leastConnections = 8
 )
 
-// Defaults of the progress. The pages give clients no time limit for bodies; a request
+// Defaults of the progress. The platform gives clients no time limit for bodies; a request
 // that needs longer for so few bytes has no time left for an answer.
 const (
 	DefaultStall  = 500 * time.Millisecond
--- a/share/member.go
+++ b/share/member.go
@@ -17,7 +17,7 @@
 	// of a zone notice a lost or new host, 1.3 s, and the validity of permits.
 	TakeoverDelay = 2 * time.Second
 	// JoinDelay is how long a host that starts owns no rates, since it does not know
-	// all other hosts yet. The others then hear that it owns rates
+	// all other hosts yet. The others then learn that it owns rates
 	// from now on.
 	JoinDelay = 5 * time.Second
 	// EarlyJoinDelay takes the place of JoinDelay if most hosts have not joined: they were
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -36,7 +36,7 @@
 	// gets its last request, if nothing is disturbed.
 	rollbackTime = 5 * time.Second
 	maxBad       = 50
-	// skewTime is the time by which a disturbance stretches the bounds.
+	// skewTime is the time by which a fault extends the bounds.
 	skewTime = 15 * time.Second
 )
 
@@ -111,7 +111,7 @@
 	f := &faultInjector{d: d, random: random}
 	f.disturbRollouts(duration)
 	sleep(time.Until(rollouts[0].ordered.Add(duration)))
-	// What a disturbance held up is done at the latest now.
+	// What a fault delayed is done at the latest now.
 	end := time.Now().Add(skewTime)
 	for time.Now().Before(end) && (!rollouts[0].isDecided() || !rollouts[1].isDecided()) {
 		sleep(100 * time.Millisecond)
