Show two owners of one cap after the seeds are replaced

Claim (QUOTA): machines that are added while the settings name only removed seeds never find the other hosts, even after the settings name live seeds and a SIGHUP. Each grants the whole share of its zone in the cap of an account, beside the owner that the other hosts know.

--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -53,6 +53,8 @@
 	arrivals          *arrivals
 	// registered is cleared once the server has removed its entry.
 	registered atomic.Bool
+	// refusing is set while the server refuses part of its requests, as not run.
+	refusing atomic.Bool
 	// unframed is the size in bytes of an answer without a length; zero answers with one.
 	unframed int
 }
@@ -110,6 +112,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if b.refusing.Load() && isRefused() {
+		b.arrivals.add(arrival{at: time.Now(), server: b.id, id: id})
+		header.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.arrivals.add(arrival{at: time.Now(), server: b.id, id: id, tenant: r.Header.Get("Tenant"), key: r.Header.Get("Key") != "", ran: true})
 	time.Sleep(work)
 	header.Set("Server-Seal", seal(b.id, id))
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -52,10 +52,11 @@
 type scenario func(f *fleet, rec *record, trouble bool) (bool, error)
 
 var scenarios = map[string]scenario{
-	"removed-owners": playRemovedOwners,
-	"silent-store":   playSilentStore,
-	"lost-seeds":     playLostSeeds,
-	"unframed-kill":  playUnframedKill,
+	"removed-owners":    playRemovedOwners,
+	"silent-store":      playSilentStore,
+	"lost-seeds":        playLostSeeds,
+	"lost-seeds-budget": playLostSeedsBudget,
+	"unframed-kill":     playUnframedKill,
 }
 
 // longest is how long a case may take.
