--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -41,6 +40,14 @@
 func TestCrowdOnHostListener(t *testing.T)   { runCrowd(t, "hosts") }
 func TestCrowdOnOtherListeners(t *testing.T) { runCrowd(t, "others") }
 func TestCrowdOfLegalBodies(t *testing.T)    { runCrowd(t, "burst") }
+func TestCrowdTinyChunks(t *testing.T)       { runCrowd(t, "tiny") }
+func TestCrowdBigChunks(t *testing.T)        { runCrowd(t, "big") }
+func TestCrowdUnread(t *testing.T)           { runCrowd(t, "backlog") }
+func TestCrowdComesAgain(t *testing.T)       { runCrowd(t, "again") }
+func TestCrowdChangesKind(t *testing.T)      { runCrowd(t, "change") }
+func TestCrowdOnAllListeners(t *testing.T)   { runCrowd(t, "listeners") }
+func TestCrowdDrawn(t *testing.T)            { runCrowd(t, "drawn") }
+func TestCrowdOnServe(t *testing.T)          { runCrowd(t, "serve") }
 
 // Addresses of the tests of crowds, apart from those of the soak, and the limit on
 // connections to a server, which admits a burst although the host expects others.
@@ -71,18 +78,39 @@
 	deployment *deployment
 	host       *host
 	conns      []net.Conn
+	// kinds are the messages of clients that come again, which over ends.
+	kinds   map[string]func(io.Writer)
+	clients sync.WaitGroup
+	over    chan struct{}
+	// ask sends one ordinary request.
+	ask func() error
 	// peakFiles is the greatest number of descriptors that the process had open.
 	peakFiles int
+	// peakMemory is the greatest sum of the memory of the process and of what the kernel
+	// holds for its connections, peakQueued the greatest of the latter, in bytes.
+	peakMemory, peakQueued int
 }
 
 func runCrowd(t *testing.T, name string) {
-	c := &crowd{}
+	c := &crowd{kinds: make(map[string]func(io.Writer)), over: make(chan struct{})}
 	datadriven.RunTest(t, filepath.Join("testdata", "crowds", name), func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "start":
 			c.start(t, int(props.Number(t, d, "memory")), int(props.Number(t, d, "files")), int(props.Number(t, d, "body")))
+		case "serve":
+			c.startServe(t)
 		case "crowd":
 			c.send(t, d)
+		case "kind":
+			c.kinds[props.Text(t, d, "name")] = crowdMessage(t, d)
+		case "repeat":
+			kinds, _ := d.Arg("kinds")
+			c.startRepeats(props.Text(t, d, "to"), int(props.Number(t, d, "count")), int(props.Number(t, d, "from")), kinds.Vals)
+		case "play":
+			c.play(t, d)
+			return "ok\n"
+		case "end":
+			c.endRepeats()
 		case "check":
 			return c.check(t, int(props.Number(t, d, "memory")), int(props.Number(t, d, "files")))
 		case "burst":
@@ -97,8 +125,7 @@
 // start starts a host with the given memory in MB and number of descriptors, and the
 // operators' limit on bodies in bytes.
 func (c *crowd) start(t *testing.T, memory, files, body int) {
-	binary := filepath.Join(t.TempDir(), "hyssophub")
-	require.NoError(t, exec.Command("go", "build", "-o", binary, "hyssophub/cmd/hyssophub").Run())
+	binary := buildProgram(t)
 	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: crowdServerPort, bodyLimit: body, connections: crowdConnections}
 	var err error
 	d.store, err = newStore(crowdStore)
@@ -108,13 +135,11 @@
 	}
 	d.writeRules()
 	c.host = &host{name: "host-0-0", ip: crowdHost, zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}
-	c.deployment = d
+	c.deployment, c.ask = d, c.ordinary
 	require.NoError(t, c.host.configure(crowdStore, nil))
 	require.NoError(t, c.host.start())
 	t.Cleanup(func() {
-		for _, conn := range c.conns {
-			_ = conn.Close()
-		}
+		c.close()
 		c.host.signal(syscall.SIGKILL)
 		c.host.waitExit(time.Second)
 		for _, s := range d.serverList() {
@@ -122,16 +147,31 @@
 		}
 		d.store.close()
 	})
-	require.Eventually(t, func() bool { return c.ordinary() == nil }, crowdStart, 50*time.Millisecond, "the host serves")
+	require.Eventually(t, func() bool { return c.ask() == nil }, crowdStart, 50*time.Millisecond, "the host serves")
+}
+
+func buildProgram(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "hyssophub")
+	require.NoError(t, exec.Command("go", "build", "-o", binary, "hyssophub/cmd/hyssophub").Run())
+	return binary
+}
+
+// close ends all clients of the crowd.
+func (c *crowd) close() {
+	c.endRepeats()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
 }
 
 // ports are the listeners of a host by their names in the scripts.
-var ports = map[string]int{"clients": portClients, "hosts": portPeer, "readiness": portReadiness, "metrics": portMetrics}
+var ports = map[string]int{"clients": portClients, "hosts": portPeer, "readiness": portReadiness, "admin": portReadiness, "metrics": portMetrics}
 
 // send opens connections, sends the input of the command on each, and returns when all
 // are done or the host has closed them. The connections stay open.
 func (c *crowd) send(t *testing.T, d *datadriven.TestData) {
-	count := int(props.Number(t, d, "count"))
+	count, addresses := int(props.Number(t, d, "count")), 0
+	d.MaybeScanArgs(t, "from", &addresses)
 	address := c.host.address(ports[props.Text(t, d, "to")])
 	message := crowdMessage(t, d)
 	var (
@@ -139,22 +179,22 @@
 		group sync.WaitGroup
 	)
 	done := make(chan struct{})
-	for range count {
+	for client := range count {
+		dialer := net.Dialer{Timeout: crowdWrite, LocalAddr: crowdAddress(client, addresses)}
 		group.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, crowdWrite)
+			conn, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			c.conns = append(c.conns, conn)
 			mu.Unlock()
-			_ = conn.SetWriteDeadline(time.Now().Add(crowdWrite))
-			message(conn)
+			message(limitWrites(conn))
 		})
 	}
 	go func() { group.Wait(); close(done) }()
 	for {
-		c.countFiles()
+		c.sample(t)
 		select {
 		case <-done:
 			return
@@ -211,24 +251,30 @@
 	return b.Bytes()[:b.Len()-len("x\r\n")]
 }
 
-func (c *crowd) countFiles() {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.host.process.Process.Pid))
-	if err == nil {
-		c.peakFiles = max(c.peakFiles, len(entries))
-	}
+// sample updates the peaks.
+func (c *crowd) sample(t *testing.T) {
+	pid := c.host.process.Process.Pid
+	files, inodes := openFiles(pid)
+	c.peakFiles = max(c.peakFiles, files)
+	queued, err := queuedBytes(c.host.ip, inodes)
+	require.NoError(t, err)
+	c.peakQueued = max(c.peakQueued, queued)
+	c.peakMemory = max(c.peakMemory, queued+residentMemory(pid))
 }
 
-// check requires that the process lives and has kept within the bounds, and that one
-// ordinary request is answered while the crowd's connections are open.
+// check requires that the process lives and that it and the kernel's queues have kept
+// within the bounds, and that one ordinary request is answered while the crowd's
+// connections are open.
 func (c *crowd) check(t *testing.T, memory, files int) string {
 	for end := time.Now().Add(crowdHold); time.Now().Before(end); sleep(sampleInterval) {
-		c.countFiles()
+		c.sample(t)
 	}
-	require.Eventually(t, func() bool { return !c.host.isRunning() || c.ordinary() == nil }, answerTime, 100*time.Millisecond, "an ordinary request is answered")
-	c.countFiles()
-	peak := c.host.checkMemory(c.deployment.executions)
-	t.Logf("peak memory %d MB of %d, descriptors %d of %d", peak>>20, memory, c.peakFiles, files)
+	require.Eventually(t, func() bool { return !c.host.isRunning() || c.ask() == nil }, answerTime, 100*time.Millisecond, "an ordinary request is answered")
+	c.sample(t)
+	peak := c.host.peakMemory()
+	t.Logf("peak memory %d MB, with the kernel's queues %d MB (%d MB of queues at most) of %d, descriptors %d of %d", peak>>20, c.peakMemory>>20, c.peakQueued>>20, memory, c.peakFiles, files)
 	require.Positive(t, peak, "the process lives")
+	require.LessOrEqual(t, c.peakMemory, memory<<20, "peak memory with the kernel's queues in bytes")
 	require.LessOrEqual(t, peak, memory<<20, "peak memory in bytes")
 	require.LessOrEqual(t, c.peakFiles, files, "open descriptors")
 	return "ok\n"
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -28,6 +29,8 @@
 	zone   string
 	dir    string
 	binary string
+	// program is the command that runs the host, relay if it is empty.
+	program string
 
 	// memory is the memory of the host in MB, and descriptors the number of its file
 	// descriptors; zero sets none.
@@ -75,7 +78,7 @@
 		return err
 	}
 	h.out = out
-	h.process = exec.Command(h.binary, "relay", "--config", filepath.Join(h.dir, h.name+".json"))
+	h.process = exec.Command(h.binary, cmp.Or(h.program, "relay"), "--config", filepath.Join(h.dir, h.name+".json"))
 	h.process.Stdout, h.process.Stderr = out, out
 	if err := h.process.Start(); err != nil {
 		return err
--- a/soak/hostile_test.go
+++ b/soak/hostile_test.go
@@ -104,9 +104,18 @@
 const memoryLimit = 184 << 20
 
 // checkMemory records a violation if the process of a host has used more memory than a
-// host has, as after reading answers without end. It returns the peak in bytes, zero if
-// the process has ended.
+// host has, as after reading answers without end. It returns the peak, see peakMemory.
 func (h *host) checkMemory(e *executions) int {
+	peak := h.peakMemory()
+	if peak > memoryLimit {
+		e.addViolation("host %s used %d MB of memory", h.name, peak>>20)
+	}
+	return peak
+}
+
+// peakMemory returns the greatest memory that the process of a host has used, in bytes,
+// zero if the process has ended.
+func (h *host) peakMemory() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.isRunning() {
@@ -119,9 +128,5 @@
 	_, after, _ := strings.Cut(string(status), "VmHWM:")
 	line, _, _ := strings.Cut(after, "kB")
 	kilobytes, _ := strconv.Atoi(strings.TrimSpace(line))
-	peak := kilobytes << 10
-	if peak > memoryLimit {
-		e.addViolation("host %s used %d MB of memory", h.name, peak>>20)
-	}
-	return peak
+	return kilobytes << 10
 }
