--- a/intake/table.go
+++ b/intake/table.go
@@ -192,6 +192,15 @@
 	e.Kind = Held{}
 	return !e.Ended
 }
+// Release gives back a part of the memory of a message.
+func (t *Table) Release(e *Entry, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.entries[e] {
+		t.add(e, -bytes)
+	}
+}
+
 
 // End releases the memory of a message.
 func (t *Table) End(e *Entry) {
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -39,7 +39,8 @@
 }
 
 const (
-	// step is the memory that a body without a length reserves at once, in bytes.
+	// step is the memory that a body without a length reserves at once, in bytes, and the
+	// size of the pieces in which it is read.
 	step = 16 << 10
 	// freeAnswer is the size of an answer, in bytes, that is not counted: it fits into
 	// the buffers of its connection.
@@ -127,17 +128,22 @@
 	if b.entry == nil {
 		b.entry = l.Table.Begin(intake.Body{}, b.address, b, now)
 	}
-	need := (b.read + step) * l.Weight
+	need := (b.read/step + 1) * step
 	if b.length >= 0 {
-		need = b.length * l.Weight
+		need = b.length
 	}
-	if need <= b.reserved {
+	return b.reserve(need*l.Weight, now)
+}
+
+// reserve raises what the body has reserved to a number of bytes.
+func (b *body) reserve(bytes int64, now time.Time) error {
+	if bytes <= b.reserved {
 		return nil
 	}
-	if err := reserve(l.Table, b.entry, need-b.reserved, now); err != nil {
+	if err := reserve(b.limiter.Table, b.entry, bytes-b.reserved, now); err != nil {
 		return b.refusal(err.RetryAfter)
 	}
-	b.reserved = need
+	b.reserved = bytes
 	return nil
 }
 
@@ -192,3 +198,15 @@
 	}
 	return nil
 }
+// reserveCopy reserves the memory for a copy of a whole body that was read in pieces, and
+// releasePieces gives back that of the pieces.
+func (b *body) reserveCopy() error {
+	return b.reserve(b.reserved+b.read*b.limiter.Weight, time.Now())
+}
+
+func (b *body) releasePieces() {
+	whole := b.read * b.limiter.Weight
+	b.limiter.Table.Release(b.entry, b.reserved-whole)
+	b.reserved = whole
+}
+
--- a/limits/read.go
+++ b/limits/read.go
@@ -4,12 +4,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 )
 
-// Reserve reserves the memory for the announced length of a request's body. Its error is
-// that of reading the body.
+// pieces are the buffers in which bodies without a length arrive. They are used again, so
+// that the bodies of a crowd leave no garbage of their size.
+var pieces = sync.Pool{New: func() any { return new([step]byte) }}
+
+// Reserve reserves the memory for the next bytes of a request's body: for its announced
+// length if it has one. Its error is that of reading the body.
 func Reserve(r *http.Request) error {
-	if r.Body == nil || r.ContentLength <= 0 {
+	if r.Body == nil || r.ContentLength == 0 {
 		return nil
 	}
 	_, err := r.Body.Read(nil)
@@ -17,8 +22,8 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. A longer one is an
-// http.MaxBytesError. The memory for a body with a length is allocated once, after it has
-// been reserved.
+// http.MaxBytesError. All memory is allocated after it has been reserved, that for a body
+// with a length at once.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -28,7 +33,7 @@
 	}
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength < 0 {
-		return io.ReadAll(reader)
+		return readPieces(r, reader)
 	}
 	if err := Reserve(r); err != nil {
 		return nil, err
@@ -43,3 +48,40 @@
 	}
 	return content, nil
 }
+
+// readPieces reads a body without a length piece by piece, and joins the pieces once the
+// length is known. A buffer that grows would take more memory than was reserved.
+func readPieces(r *http.Request, reader io.Reader) ([]byte, error) {
+	var list []*[step]byte
+	defer func() {
+		for _, p := range list {
+			pieces.Put(p)
+		}
+	}()
+	size, err := 0, error(nil)
+	for err == nil {
+		if size == step*len(list) {
+			if err := Reserve(r); err != nil {
+				return nil, err
+			}
+			list = append(list, pieces.Get().(*[step]byte))
+		}
+		n := 0
+		n, err = reader.Read(list[len(list)-1][size%step:])
+		size += n
+	}
+	if !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	if b, ok := r.Body.(*body); ok {
+		if err := b.reserveCopy(); err != nil {
+			return nil, err
+		}
+		defer b.releasePieces()
+	}
+	content := make([]byte, 0, size)
+	for _, p := range list {
+		content = append(content, p[:min(step, size-len(content))]...)
+	}
+	return content, nil
+}
