--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -17,10 +17,11 @@
 const (
 	maxPeerBytes  = 8 << 20
 	maxAdminBytes = 4 << 20
-	// maxStatusHead bounds the heads of requests for readiness and metrics.
+	// maxStatusHead bounds the heads of requests for readiness and metrics, in bytes.
 	maxStatusHead = 16 << 10
-	// peerWeight counts a message of another host twice: as bytes and decoded.
-	peerWeight = 2
+	// peerWeight counts what twirp takes for a message of another host: its bytes in buffers
+	// that grow by half, and a copy of them or the decoded message.
+	peerWeight = 3
 	// freeHead is the part of a head, in bytes, that is not counted: it fits into the
 	// buffer of its connection. Each further byte counts headWeight times, because
 	// short fields take many times their bytes once they are parsed.
@@ -197,7 +198,7 @@
 	r.clientListener.limit(r.intake, connLimits.Clients, limits.Limiter{Weight: 1})
 	r.peerListener.limit(r.intake, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
 	for _, l := range []*listener{r.readyListener, r.metricsListener} {
-		l.limit(r.intake, connLimits.Status, limits.Limiter{Largest: maxStatusHead, Weight: 1})
+		l.limit(r.intake, connLimits.Status, limits.Limiter{Bodiless: true})
 		l.server.MaxHeaderBytes = maxStatusHead
 		l.server.IdleTimeout = clientIdleTimeout
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -34,6 +34,8 @@
 	Table *intake.Table
 	// Largest bounds a body, in bytes; zero sets no bound.
 	Largest int64
+	// Bodiless refuses all requests with a body.
+	Bodiless bool
 	// Weight is the memory that a byte of a body takes until its request ends.
 	Weight int64
 }
@@ -64,6 +66,13 @@
 		}
 		a := &answer{ResponseWriter: w, controller: http.NewResponseController(w), table: l.Table, address: address}
 		if r.Body != nil && r.Body != http.NoBody {
+			if l.Bodiless {
+				w.Header().Set("Connection", "close")
+				a.WriteHeader(http.StatusRequestEntityTooLarge)
+				// The server would wait for the body.
+				_ = a.controller.SetReadDeadline(time.Unix(1, 0))
+				return
+			}
 			a.body = &body{readCloser: r.Body, limiter: l, controller: a.controller, address: address, length: r.ContentLength}
 			r.Body = a.body
 			defer a.body.release()
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -54,7 +54,7 @@
 			Least:  1024,
 		}
 		s.table = intake.NewTable(bounds)
-		limiter := &Limiter{Table: s.table, Weight: 1}
+		limiter := &Limiter{Table: s.table, Weight: 1, Bodiless: d.HasArg("bodiless")}
 		server := httptest.NewServer(limiter.Handler(http.HandlerFunc(answerLength)))
 		t.Cleanup(server.Close)
 		t.Cleanup(func() {
--- a/peer/limit.go
+++ b/peer/limit.go
@@ -20,14 +20,23 @@
 	maxHeaderBytes   = 64 << 10
 )
 
+// errNoLength is the error of a request without a length.
+var errNoLength = errors.New("peer: request without Content-Length")
+
 // errResponseTooLarge is the error of reading a response beyond its bound.
 var errResponseTooLarge = errors.New("peer: response too large")
 
 // limitRequests bounds the bodies of the requests to a handler. A request for whose body
-// there is no memory is refused as not run.
+// there is no memory is refused as not run. So is one without a length, which no host sends:
+// the memory for its body would not be known before it is read.
 func limitRequests(handler http.Handler) http.Handler {
 	limited := http.MaxBytesHandler(handler, maxRequestBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength < 0 {
+			w.Header().Set("Connection", "close")
+			_ = twirp.WriteError(w, encodeError(&fault.Error{Verdict: fault.NotRun{}, Reason: fault.ReasonBadRequest, Err: errNoLength}))
+			return
+		}
 		var refused *limits.Refusal
 		if errors.As(limits.Reserve(r), &refused) {
 			w.Header().Set("Connection", "close")
