--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -31,6 +31,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	daemon.LimitMemory(settings.MemoryMB)
 	d, err := daemon.New(settings, log)
 	if err != nil {
 		return err
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"hyssophub/intake"
 	"hyssophub/limits"
+	"hyssophub/setup"
 )
 
 // Bounds of the messages that other hosts and administrators send, in bytes. A message of
@@ -206,8 +208,9 @@
 
 // limitListeners bounds what the listeners of the host take in.
 func (d *Daemon) limitListeners() {
-	table := intake.NewTable(intake.LimitsFor(memoryLimit))
-	connLimits := intake.ConnLimitsFor(memoryLimit, descriptorLimit(0))
+	memory := int64(cmp.Or(d.settings.MemoryMB, setup.DefaultMemoryMB)) << 20
+	table := intake.NewTable(intake.LimitsFor(memory))
+	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(d.settings.Descriptors))
 	d.callerListener.limit(table, connLimits.Clients, limits.Limiter{Weight: 1})
 	d.peerListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
 	d.adminListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1})
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -10,6 +10,9 @@
 	gcPercent = 400
 	// memoryLimit is in bytes.
 	memoryLimit = 512 << 20
+	// memoryLimitShare is the soft memory limit of the Go runtime as a share of the
+	// memory of a host; the rest is for the kernel's buffers.
+	memoryLimitShare = 0.6
 )
 
 // TuneMemory configures the garbage collector for a process that runs an entry host.
@@ -17,3 +20,9 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
 }
+
+// LimitMemory sets the soft memory limit of the Go runtime for a process that runs one
+// entry host with the given memory in MB.
+func LimitMemory(memoryMB int) {
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * (1 << 20)))
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,9 +41,6 @@
 	// assumedHosts is the number of hosts that share the limits of the backend
 	// servers and the retry budgets, until the real number is known.
 	assumedHosts = 12
-	// memoryLimitShare is the soft memory limit of the Go runtime as a share of
-	// the process's memory limit; the rest is for the kernel's buffers.
-	memoryLimitShare = 0.6
 	// unreadyNotice is how long a stopping host still accepts connections after
 	// it reports not ready. The balancer checks once a second and removes a host
 	// after two failed checks.
@@ -115,7 +111,7 @@
 func NewRelay(settings setup.Relay, log *logs.Loggers) (*Relay, error) {
 	log = log.ForHost(settings.Name)
 	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB) * (1 << 20)))
+		LimitMemory(settings.MemoryMB)
 	}
 	r := &Relay{settings: settings, log: log.Layer(logs.LayerRelay), droppedLines: log.Dropped, started: time.Now()}
 	r.requestLog = sampleRequests(r.log)
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -33,7 +33,12 @@
 	PlatformAddr string
 	// TokensFile is the path of the file with the offices' tokens.
 	TokensFile string
-	Stop       Stop
+	// MemoryMB is the memory of the host in MB.
+	MemoryMB int
+	// Descriptors is the limit on open file descriptors of the process; with zero, that
+	// of the system holds.
+	Descriptors int
+	Stop        Stop
 }
 
 // Stop holds the time limits of a planned stop.
@@ -56,11 +61,17 @@
 	defaultLeaveTimeout  = 2 * time.Second
 )
 
+// DefaultMemoryMB is the memory of a host whose settings name none, in MB.
+const DefaultMemoryMB = 512
+
+// leastMemoryMB is the least memory of a host of the product's own interface, in MB.
+const leastMemoryMB = 64
+
 // allowedFields lists the fields in the error for a file that cannot be decoded.
 const allowedFields = "name, zone, caller, admin, peer, beat, platform, tokens"
 
 // wireSettings is the format of the settings file. Durations are strings such as
-// "5s". Errors of the JSON decoder contain the names of these types.
+// "5s", memory is in MB. Errors of the JSON decoder contain the names of these types.
 type wireSettings struct {
 	Name     string   `json:"name"`
 	Zone     string   `json:"zone"`
@@ -70,6 +81,8 @@
 	Beat     string   `json:"beat"`
 	Platform string   `json:"platform"`
 	Tokens   string   `json:"tokens"`
+	Memory   *int     `json:"memory"`
+	Files    int      `json:"files"`
 	Stop     wireStop `json:"stop"`
 }
 
@@ -103,7 +116,7 @@
 	case errors.Is(err, strict.ErrTrailing):
 		return Settings{}, err
 	case err != nil:
-		return Settings{}, oops.Wrapf(err, "allowed is an object with the strings %s and the object stop with the strings notice, finish, leave", allowedFields)
+		return Settings{}, oops.Wrapf(err, "allowed is an object with the strings %s, the numbers memory and files, and the object stop with the strings notice, finish, leave", allowedFields)
 	}
 	settings := Settings{
 		Name:          decoded.Name,
@@ -114,6 +127,11 @@
 		HeartbeatAddr: decoded.Beat,
 		PlatformAddr:  decoded.Platform,
 		TokensFile:    decoded.Tokens,
+		MemoryMB:      DefaultMemoryMB,
+		Descriptors:   decoded.Files,
+	}
+	if decoded.Memory != nil {
+		settings.MemoryMB = *decoded.Memory
 	}
 	var errs []error
 	errs = append(errs, checkName("name", decoded.Name), checkName("zone", decoded.Zone))
@@ -128,7 +146,9 @@
 	settings.Stop.FinishTimeout, err = parseLimit("stop.finish", decoded.Stop.Finish, defaultFinishTimeout)
 	errs = append(errs, err)
 	settings.Stop.LeaveTimeout, err = parseLimit("stop.leave", decoded.Stop.Leave, defaultLeaveTimeout)
-	errs = append(errs, err)
+	errs = append(errs, err,
+		checkRange("memory", float64(settings.MemoryMB), leastMemoryMB, maxMemoryMB),
+		checkRange("files", float64(settings.Descriptors), 0, maxDescriptors))
 	return settings, errors.Join(errs...)
 }
 
--- a/setup/settings_test.go
+++ b/setup/settings_test.go
@@ -28,6 +28,8 @@
 		{"port", `{"beat":"127.0.0.1:99999"}`, `field "beat" is "127.0.0.1:99999"`},
 		{"limit", `{"stop":{"notice":"1h"}}`, `field "stop.notice" is "1h", allowed is a duration`},
 		{"leave", `{"stop":{"leave":"x"}}`, `field "stop.leave" is "x"`},
+		{"memory", `{"memory":63}`, `field "memory" is 63`},
+		{"files", `{"files":-1}`, `field "files" is -1`},
 		{"two values", `{} {}`, "more than one JSON value"},
 		{"repeated key", `{"name":"a","name":"b"}`, `key "name" is given twice`},
 	} {
