--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,7 +79,9 @@
 	if d.adminListener, err = listen(d.settings.AdminAddr); err != nil {
 		return err
 	}
-	d.limitListeners()
+	if err := d.limitListeners(); err != nil {
+		return err
+	}
 	if d.heartbeats, err = peer.ListenHeartbeats(d.settings.HeartbeatAddr, d.settings.Zone); err != nil {
 		return err
 	}
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -9,6 +9,9 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/oops"
+	"golang.org/x/sys/unix"
+
 	"hyssophub/intake"
 	"hyssophub/limits"
 	"hyssophub/setup"
@@ -31,13 +34,53 @@
 	headWeight = 16
 )
 
+// bounds are the tables and sizes that the listeners of a host share.
+type bounds struct {
+	table *intake.Table
+	// buffer is the size of the kernel's buffers of a connection, in bytes; zero leaves
+	// them to the system.
+	buffer int
+}
+
+// newBounds returns the bounds of a host with the given memory in bytes.
+func newBounds(memory int64, buffer int) bounds {
+	return bounds{
+		table:  intake.NewTable(intake.LimitsFor(memory)),
+		buffer: buffer,
+	}
+}
+
 // limit makes the connections, heads, bodies and answers of a listener keep to the bounds
 // of a host. It is called before serve.
-func (l *listener) limit(table *intake.Table, connections int, limiter limits.Limiter) {
-	limiter.Table = table
+func (l *listener) limit(b bounds, connections int, limiter limits.Limiter) error {
+	limiter.Table = b.table
 	l.limiter = &limiter
-	l.tcp.connLimiter = table.NewConnLimiter(connections)
-	l.tcp.table = table
+	l.tcp.connLimiter = b.table.NewConnLimiter(connections)
+	l.tcp.table = b.table
+	return l.tcp.setBuffers(b.buffer)
+}
+
+// unackedTimeout is the time after which the kernel drops a connection whose peer takes no
+// bytes, also one that the host has closed.
+const unackedTimeout = 20 * time.Second
+
+// setBuffers sets the sizes of the kernel's buffers, in bytes, of the connections that are
+// accepted from now on. The kernel would else let each grow to megabytes, also for
+// connections that wait to be accepted.
+func (a *acceptor) setBuffers(size int) error {
+	raw, err := a.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		if size > 0 {
+			err = errors.Join(err,
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size))
+		}
+	})
+	return oops.Wrapf(errors.Join(controlErr, err), "buffers of %s", a.Addr())
 }
 
 // errNoRoom ends the reading of a head for which there is no memory.
@@ -193,25 +236,31 @@
 }
 
 // limitListeners bounds what the listeners of the host take in.
-func (r *Relay) limitListeners() {
+func (r *Relay) limitListeners() error {
 	memory := int64(r.settings.MemoryMB) << 20
-	r.intake = intake.NewTable(intake.LimitsFor(memory))
 	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(r.settings.Descriptors))
-	r.clientListener.limit(r.intake, connLimits.Clients, limits.Limiter{Weight: 1})
-	r.peerListener.limit(r.intake, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
+	b := newBounds(memory, connLimits.Buffer)
+	r.intake = b.table
+	err := errors.Join(
+		r.clientListener.limit(b, connLimits.Clients, limits.Limiter{Weight: 1}),
+		r.peerListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight}),
+	)
 	for _, l := range []*listener{r.readyListener, r.metricsListener} {
-		l.limit(r.intake, connLimits.Status, limits.Limiter{Bodiless: true})
+		err = errors.Join(err, l.limit(b, connLimits.Status, limits.Limiter{Bodiless: true}))
 		l.server.MaxHeaderBytes = maxStatusHead
 		l.server.IdleTimeout = clientIdleTimeout
 	}
+	return err
 }
 
 // limitListeners bounds what the listeners of the host take in.
-func (d *Daemon) limitListeners() {
+func (d *Daemon) limitListeners() error {
 	memory := int64(cmp.Or(d.settings.MemoryMB, setup.DefaultMemoryMB)) << 20
-	table := intake.NewTable(intake.LimitsFor(memory))
 	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(d.settings.Descriptors))
-	d.callerListener.limit(table, connLimits.Clients, limits.Limiter{Weight: 1})
-	d.peerListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight})
-	d.adminListener.limit(table, connLimits.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1})
+	b := newBounds(memory, connLimits.Buffer)
+	return errors.Join(
+		d.callerListener.limit(b, connLimits.Clients, limits.Limiter{Weight: 1}),
+		d.peerListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight}),
+		d.adminListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxAdminBytes, Weight: 1}),
+	)
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -38,7 +38,10 @@
 )
 
 func listen(address string) (*listener, error) {
-	n, err := net.Listen("tcp", address)
+	// A multipath socket takes no TCP_USER_TIMEOUT.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	n, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen on %s", address)
 	}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -156,7 +156,9 @@
 			return err
 		}
 	}
-	r.limitListeners()
+	if err := r.limitListeners(); err != nil {
+		return err
+	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(r.settings.Name))
 	r.rules = rules.NewTable(hash.Sum64())
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -116,9 +116,9 @@
 	Closed   uint64
 }
 
-// Parts of a host's memory and descriptors. The rest of the memory is for the program,
-// garbage that is not yet collected, and the buffers of the kernel; the rest of the
-// descriptors is for connections to servers, the store and other hosts.
+// Parts of a host's memory and descriptors. The rest of the memory is for the program and
+// garbage that is not yet collected; the rest of the descriptors is for connections to
+// servers, the store and other hosts.
 const (
 	// memoryShare leaves room for as much again: the answer to a request is counted in the
 	// account only from the start of its writing.
@@ -129,10 +129,18 @@
 	clientShare = 0.5
 	peerShare   = 0.2
 	statusShare = 0.03
-	// connectionBytes is the memory of a connection without a request, and
-	// connectionShare the part of the memory for all of them.
+	// connectionBytes is the memory of the process for a connection without a request.
+	// connectionShare is the part of the memory for the connections of all listeners,
+	// with the kernel's buffers.
 	connectionBytes = 16 << 10
-	connectionShare = 0.25
+	connectionShare = 0.3
+	// leastBuffer and mostBuffer are bounds of ConnLimits.Buffer, in bytes. A window of
+	// leastBuffer carries 2 MB/s over a round trip of 8 ms.
+	leastBuffer = 16 << 10
+	mostBuffer  = 64 << 10
+	// buffersCharge is what the kernel may charge for the two buffers of a connection,
+	// as a multiple of the size of one: it doubles each for its own records.
+	buffersCharge = 4
 	// leastConnections is the least bound of a listener.
 	leastConnections = 8
 )
@@ -152,20 +160,31 @@
 }
 
 // ConnLimits are the bounds on the connections of the listeners; zero sets none.
-type ConnLimits struct{ Clients, Peers, Status int }
+type ConnLimits struct {
+	Clients, Peers, Status int
+	// Buffer is the size of the kernel's receive buffer of a connection, and that of its
+	// send buffer, in bytes. Zero leaves both to the system.
+	Buffer int
+}
 
 // ConnLimitsFor returns the bounds of a host with the given memory in bytes and number of
-// descriptors; zero means that it is not known.
+// descriptors; zero means that it is not known. The memory for connections is divided
+// among as many as the descriptors admit, but none gets less than leastBuffer for its
+// buffers.
 func ConnLimitsFor(memory int64, descriptors int) ConnLimits {
 	if descriptors <= 0 && memory <= 0 {
 		return ConnLimits{}
 	}
-	bound := func(share float64) int {
-		most := float64(descriptors) * share
-		if byMemory := connectionShare * float64(memory) / connectionBytes * share / clientShare; memory > 0 && (descriptors <= 0 || byMemory < most) {
-			most = byMemory
+	const shares = clientShare + peerShare + 2*statusShare
+	all, buffer := float64(descriptors), 0
+	if memory > 0 {
+		bytes := connectionShare * float64(memory) / shares
+		most := bytes / (connectionBytes + buffersCharge*leastBuffer)
+		if descriptors <= 0 || most < all {
+			all = most
 		}
-		return max(leastConnections, int(most))
+		buffer = min(mostBuffer, int(bytes/all-connectionBytes)/buffersCharge)
 	}
-	return ConnLimits{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare)}
+	bound := func(share float64) int { return max(leastConnections, int(all*share)) }
+	return ConnLimits{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare), Buffer: buffer}
 }
