--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -103,6 +103,15 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.taken.conn != nil {
+		c.taken.conn.BeginWrite(time.Now())
+		defer c.taken.conn.EndWrite()
+	}
+	return c.TCPConn.Write(p)
+}
+
 // hasBytes reports whether the kernel holds unread bytes of the connection.
 func (c *trackedConn) hasBytes() bool {
 	raw, err := c.SyscallConn()
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -92,6 +93,8 @@
 	table       *intake.Table
 	connLimiter *intake.ConnLimiter
 	conn        *intake.Conn
+	// address is the IP address of the peer.
+	address string
 
 	mu sync.Mutex
 	// inHead is set while the next bytes belong to a head.
@@ -100,6 +103,30 @@
 	head     *intake.Entry
 }
 
+// withTrackedConn adds the connection to the contexts of its requests. It is used as
+// http.Server.ConnContext.
+func withTrackedConn(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*trackedConn); ok && c.taken.connLimiter != nil {
+		return limits.WithConn(ctx, c)
+	}
+	return ctx
+}
+
+// BeginBody implements limits.Conn.
+func (c *trackedConn) BeginBody(message *intake.Entry) {
+	c.taken.connLimiter.Attach(c.taken.conn, message)
+}
+
+// BeginAnswer implements limits.Conn.
+func (c *trackedConn) BeginAnswer(message *intake.Entry) {
+	c.taken.connLimiter.Attach(c.taken.conn, message)
+}
+
+// EndMessage implements limits.Conn.
+func (c *trackedConn) EndMessage() {
+	c.taken.connLimiter.Attach(c.taken.conn, nil)
+}
+
 // enter enters an accepted connection in the bounds of the listener. It returns false if the
 // connection must be closed.
 func (a *acceptor) enter(c *trackedConn) bool {
@@ -107,7 +134,8 @@
 		return true
 	}
 	c.taken.table, c.taken.connLimiter, c.taken.inHead = a.table, a.connLimiter, true
-	conn, decision := a.connLimiter.Open(addressOf(c), c, time.Now())
+	c.taken.address = addressOf(c)
+	conn, decision := a.connLimiter.Open(c.taken.address, c, time.Now())
 	granted, ok := decision.(intake.Granted)
 	c.taken.conn = conn
 	for _, holder := range granted.Evicted {
@@ -124,14 +152,14 @@
 	return host
 }
 
-// Evict implements intake.Holder. An idle connection ends unless bytes of a request have
-// arrived; one on which a head is being read is closed.
+// Evict implements intake.Holder. It closes the connection. One on which a message is in
+// progress is reset, which also frees what the kernel has not sent; the last answer on an
+// idle one still reaches the client.
 func (c *trackedConn) Evict() {
 	if c.begun.Load() {
-		_ = c.Close()
-		return
+		_ = c.SetLinger(0)
 	}
-	c.end(time.Now())
+	_ = c.TCPConn.Close()
 }
 
 // beforeRead reserves memory for the next bytes of a head. It returns their bound.
@@ -150,7 +178,7 @@
 	}
 	now := time.Now()
 	if t.head == nil {
-		t.head = t.table.Begin(intake.Head{}, addressOf(c), c, now)
+		t.head = t.table.Begin(intake.Head{}, t.address, c, now)
 	}
 	p = p[:min(len(p), freeHead)]
 	switch d := t.table.Reserve(t.head, headWeight*int64(len(p)), now).(type) {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -47,7 +47,10 @@
 	}
 	l := &listener{tcp: &acceptor{TCPListener: n.(*net.TCPListener)}}
 	l.conns.init()
-	l.server = &http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: l.conns.recordState}
+	l.server = &http.Server{
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: l.conns.recordState, ConnContext: withTrackedConn,
+	}
 	return l, nil
 }
 
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -27,6 +27,7 @@
 	if !ok {
 		return ctx
 	}
+	ctx = withTrackedConn(ctx, conn)
 	return context.WithValue(ctx, clientConnKey{}, &clientConn{conn: tracked.TCPConn})
 }
 
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -20,9 +20,9 @@
 	return d
 }
 
-// Open enters a connection that was accepted. If the bound is reached, a connection without
-// a whole request is closed: one that has served none before others, then one of an address
-// with more than its share, then the one that has sent least and stands longest. Without
+// Open enters a connection that was accepted. If the bound is reached, another connection is
+// closed: one on which no request is being served and nothing has moved for Limits.Stall, or
+// one of an address that has at least two connections more than that of the new one. Without
 // such a connection the new one is refused, and the caller closes it.
 func (d *ConnLimiter) Open(address string, holder Holder, now time.Time) (*Conn, Decision) {
 	d.table.mu.Lock()
@@ -36,6 +36,9 @@
 		}
 		d.table.counts.Closed++
 		d.remove(victim)
+		if e := victim.Message; e != nil {
+			d.table.evict(e)
+		}
 		granted.Evicted = append(granted.Evicted, victim.Holder)
 	}
 	d.table.begun++
@@ -53,17 +56,38 @@
 	}
 	share := d.limit / addresses
 	var worst *Conn
+	worstStalled := false
 	for c := range d.conns {
-		if c.Busy || now.Sub(c.Since) < d.table.limits.Stall {
+		movedAt, ok := c.movedAt()
+		if !ok {
+			continue
+		}
+		stalled := now.Sub(movedAt) >= d.table.limits.Stall
+		if !stalled && d.byAddress[c.Address] <= d.byAddress[address]+1 {
 			continue
 		}
-		if worst == nil || d.goesBefore(c, worst, share) {
-			worst = c
+		if worst == nil || stalled && !worstStalled || stalled == worstStalled && d.goesBefore(c, worst, share) {
+			worst, worstStalled = c, stalled
 		}
 	}
 	return worst
 }
 
+// movedAt returns the time from which the connection counts as stalled. It returns false if
+// a request is being served on it, whose answer has not begun.
+func (c *Conn) movedAt() (time.Time, bool) {
+	switch writing := c.writingSince.Load(); {
+	case c.Message != nil && isEvictable(c.Message):
+		return c.Message.Progressed, true
+	case writing != 0:
+		return time.Unix(0, writing), true
+	}
+	return c.Since, !c.Busy
+}
+
+// goesBefore reports whether a is closed before b: one that has served no request before
+// others, then one of an address with more than its share, then the one that has sent least
+// and stands longest.
 func (d *ConnLimiter) goesBefore(a, b *Conn, share int) bool {
 	if newA, newB := a.Served == 0, b.Served == 0; newA != newB {
 		return newA
@@ -80,6 +104,14 @@
 	return a.Order < b.Order
 }
 
+// Attach records the message that is in progress on a connection, which is then closed with
+// it; nil ends it.
+func (d *ConnLimiter) Attach(c *Conn, message *Entry) {
+	d.table.mu.Lock()
+	defer d.table.mu.Unlock()
+	c.Message = message
+}
+
 // Receive records bytes that have arrived.
 func (d *ConnLimiter) Receive(c *Conn, bytes int) {
 	d.table.mu.Lock()
@@ -98,7 +130,7 @@
 func (d *ConnLimiter) Free(c *Conn, now time.Time) {
 	d.table.mu.Lock()
 	defer d.table.mu.Unlock()
-	c.Busy = false
+	c.Busy, c.Message = false, nil
 	c.Served++
 	c.Since = now
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -4,7 +4,10 @@
 // and carries the decisions out.
 package intake
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Kind is what an entry of the account holds memory for. The interface is sealed.
 type Kind interface{ kind() }
@@ -68,10 +71,23 @@
 	Served   int
 	// Busy is set from a request's last byte of its head to the end of its answer.
 	Busy bool
+	// Message is the body that is being read or the answer that is being written; nil if
+	// there is neither.
+	Message *Entry
+	// writingSince is when the write began that is in progress, in nanoseconds of Unix
+	// time; zero if there is none.
+	writingSince atomic.Int64
 	// Since is the time of the opening, or of the end of the last request.
 	Since time.Time
 }
 
+// BeginWrite records that bytes of an answer are being written, and EndWrite that they have
+// been. They take no lock.
+func (c *Conn) BeginWrite(now time.Time) { c.writingSince.Store(now.UnixNano()) }
+
+// EndWrite ends BeginWrite.
+func (c *Conn) EndWrite() { c.writingSince.Store(0) }
+
 // Decision is the answer to a wish for memory or a connection. The interface is sealed.
 type Decision interface{ decision() }
 
--- a/intake/script_test.go
+++ b/intake/script_test.go
@@ -15,7 +15,7 @@
 
 // TestScripts guards against an account that grants more than its bound, that ends a
 // message which may have run, that lets stalled messages or a single address keep others
-// out, and against connections without a request that keep others out. Time is virtual.
+// out, and against connections that keep others out. Time is virtual.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{entries: make(map[string]*Entry), conns: make(map[string]*Conn), now: time.Unix(1000, 0)}
@@ -81,6 +81,10 @@
 		s.connLimiter.Occupy(s.conns[text("name")])
 	case "free":
 		s.connLimiter.Free(s.conns[text("name")], s.now)
+	case "attach":
+		s.connLimiter.Attach(s.conns[text("name")], s.entries[text("message")])
+	case "write":
+		s.conns[text("name")].BeginWrite(s.now)
 	case "close":
 		s.connLimiter.Close(s.conns[text("name")])
 	case "counts":
--- a/intake/table.go
+++ b/intake/table.go
@@ -74,9 +74,7 @@
 	}
 	granted := Granted{}
 	for _, v := range victims {
-		t.counts.Evicted++
-		t.remove(v)
-		v.Ended = true
+		t.evict(v)
 		granted.Evicted = append(granted.Evicted, v.Holder)
 	}
 	t.add(e, bytes)
@@ -192,6 +190,7 @@
 	e.Kind = Held{}
 	return !e.Ended
 }
+
 // Release gives back a part of the memory of a message.
 func (t *Table) Release(e *Entry, bytes int64) {
 	t.mu.Lock()
@@ -201,7 +200,6 @@
 	}
 }
 
-
 // End releases the memory of a message.
 func (t *Table) End(e *Entry) {
 	t.mu.Lock()
@@ -209,6 +207,13 @@
 	t.remove(e)
 }
 
+// evict ends a message for others. The lock must be held.
+func (t *Table) evict(e *Entry) {
+	t.counts.Evicted++
+	t.remove(e)
+	e.Ended = true
+}
+
 func (t *Table) add(e *Entry, bytes int64) {
 	e.Bytes += bytes
 	t.counts.Memory += bytes
--- a/limits/answer.go
+++ b/limits/answer.go
@@ -13,6 +13,7 @@
 	http.ResponseWriter
 	controller *http.ResponseController
 	table      *intake.Table
+	conn       Conn
 	address    string
 	// body is the request's body, or nil.
 	body    *body
@@ -43,6 +44,8 @@
 	}
 	entry := a.table.Begin(intake.Answer{}, a.address, a, time.Now())
 	defer a.table.End(entry)
+	a.conn.BeginAnswer(entry)
+	defer a.conn.EndMessage()
 	if reserve(a.table, entry, int64(len(p)), time.Now()) != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -4,6 +4,7 @@
 package limits
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,37 @@
 // ErrTooLarge means that a body exceeds the bound of the listener.
 var ErrTooLarge = errors.New("limits: body too large")
 
+// Conn is the connection of a request, with which its listener follows what is in progress.
+type Conn interface {
+	// BeginBody and BeginAnswer record that a body is being read or an answer written,
+	// which the table may end. EndMessage ends both.
+	BeginBody(message *intake.Entry)
+	BeginAnswer(message *intake.Entry)
+	EndMessage()
+}
+
+// connKey is the context key of a request's Conn.
+type connKey struct{}
+
+// WithConn returns a context for the requests on a connection.
+func WithConn(ctx context.Context, conn Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// noConn is the Conn of a request without one.
+type noConn struct{}
+
+func (noConn) BeginBody(*intake.Entry)   {}
+func (noConn) BeginAnswer(*intake.Entry) {}
+func (noConn) EndMessage()               {}
+
+func connOf(r *http.Request) Conn {
+	if c, ok := r.Context().Value(connKey{}).(Conn); ok {
+		return c
+	}
+	return noConn{}
+}
+
 // Limiter holds the bounds of one listener.
 type Limiter struct {
 	Table *intake.Table
@@ -64,7 +96,7 @@
 		if err != nil {
 			address = r.RemoteAddr
 		}
-		a := &answer{ResponseWriter: w, controller: http.NewResponseController(w), table: l.Table, address: address}
+		a := &answer{ResponseWriter: w, controller: http.NewResponseController(w), table: l.Table, conn: connOf(r), address: address}
 		if r.Body != nil && r.Body != http.NoBody {
 			if l.Bodiless {
 				w.Header().Set("Connection", "close")
@@ -73,7 +105,7 @@
 				_ = a.controller.SetReadDeadline(time.Unix(1, 0))
 				return
 			}
-			a.body = &body{readCloser: r.Body, limiter: l, controller: a.controller, address: address, length: r.ContentLength}
+			a.body = &body{readCloser: r.Body, limiter: l, controller: a.controller, conn: a.conn, address: address, length: r.ContentLength}
 			r.Body = a.body
 			defer a.body.release()
 		}
@@ -88,6 +120,7 @@
 	readCloser io.ReadCloser
 	limiter    *Limiter
 	controller *http.ResponseController
+	conn       Conn
 	address    string
 	// length is the announced length, or negative.
 	length   int64
@@ -104,6 +137,7 @@
 		return 0, b.err
 	}
 	if b.err = b.prepare(); b.err != nil {
+		b.conn.EndMessage()
 		return 0, b.err
 	}
 	if len(p) == 0 {
@@ -116,6 +150,7 @@
 	_ = b.controller.SetReadDeadline(table.Deadline(b.entry))
 	if table.IsEnded(b.entry) {
 		b.err = b.refusal(intake.DefaultStall)
+		b.conn.EndMessage()
 		return 0, b.err
 	}
 	n, err := b.readCloser.Read(p)
@@ -123,6 +158,7 @@
 	table.Progress(b.entry, int64(n), time.Now())
 	if err != nil {
 		b.err = b.end(err)
+		b.conn.EndMessage()
 	}
 	return n, b.err
 }
@@ -136,6 +172,7 @@
 	now := time.Now()
 	if b.entry == nil {
 		b.entry = l.Table.Begin(intake.Body{}, b.address, b, now)
+		b.conn.BeginBody(b.entry)
 	}
 	need := (b.read/step + 1) * step
 	if b.length >= 0 {
@@ -156,6 +193,18 @@
 	return nil
 }
 
+// reserveCopy reserves the memory for a copy of a whole body that was read in pieces, and
+// releasePieces gives back that of the pieces.
+func (b *body) reserveCopy() error {
+	return b.reserve(b.reserved+b.read*b.limiter.Weight, time.Now())
+}
+
+func (b *body) releasePieces() {
+	whole := b.read * b.limiter.Weight
+	b.limiter.Table.Release(b.entry, b.reserved-whole)
+	b.reserved = whole
+}
+
 // end converts the error that ended the reading.
 func (b *body) end(err error) error {
 	table := b.limiter.Table
@@ -190,6 +239,7 @@
 
 func (b *body) release() {
 	if b.entry != nil {
+		b.conn.EndMessage()
 		b.limiter.Table.End(b.entry)
 	}
 }
@@ -207,15 +257,3 @@
 	}
 	return nil
 }
-// reserveCopy reserves the memory for a copy of a whole body that was read in pieces, and
-// releasePieces gives back that of the pieces.
-func (b *body) reserveCopy() error {
-	return b.reserve(b.reserved+b.read*b.limiter.Weight, time.Now())
-}
-
-func (b *body) releasePieces() {
-	whole := b.read * b.limiter.Weight
-	b.limiter.Table.Release(b.entry, b.reserved-whole)
-	b.reserved = whole
-}
-
