--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -27,9 +27,11 @@
 	draining atomic.Bool
 	// drainUntil is set before draining.
 	drainUntil time.Time
-	// connLimiter and table bound the connections and heads; nil sets no bound.
+	// connLimiter and table bound the connections and heads, and turns orders the reading;
+	// nil sets no bound.
 	connLimiter *intake.ConnLimiter
 	table       *intake.Table
+	turns       *intake.Turns
 }
 
 // Accept implements net.Listener.
@@ -85,6 +87,7 @@
 // Read implements net.Conn. The deadline that ends an idle connection has no effect
 // once bytes of a request have arrived.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	c.taken.turn.end()
 	p, err := c.beforeRead(p)
 	if err != nil {
 		return 0, err
@@ -103,8 +106,9 @@
 	}
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It may wait for the peer, so it keeps no turn.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	c.taken.turn.end()
 	if c.taken.conn != nil {
 		c.taken.conn.BeginWrite(time.Now())
 		defer c.taken.conn.EndWrite()
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -6,7 +6,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,15 +40,18 @@
 // bounds are the tables and sizes that the listeners of a host share.
 type bounds struct {
 	table *intake.Table
+	turns *intake.Turns
 	// buffer is the size of the kernel's buffers of a connection, in bytes; zero leaves
 	// them to the system.
 	buffer int
 }
 
-// newBounds returns the bounds of a host with the given memory in bytes.
+// newBounds returns the bounds of a host with the given memory in bytes. Half of the
+// processors may parse what has arrived; the others serve requests.
 func newBounds(memory int64, buffer int) bounds {
 	return bounds{
 		table:  intake.NewTable(intake.LimitsFor(memory)),
+		turns:  intake.NewTurns(runtime.GOMAXPROCS(0) / 2),
 		buffer: buffer,
 	}
 }
@@ -57,7 +62,7 @@
 	limiter.Table = b.table
 	l.limiter = &limiter
 	l.tcp.connLimiter = b.table.NewConnLimiter(connections)
-	l.tcp.table = b.table
+	l.tcp.table, l.tcp.turns = b.table, b.turns
 	return l.tcp.setBuffers(b.buffer)
 }
 
@@ -95,6 +100,9 @@
 	conn        *intake.Conn
 	// address is the IP address of the peer.
 	address string
+	turn    turn
+	// inBody is set while the next bytes belong to a body.
+	inBody atomic.Bool
 
 	mu sync.Mutex
 	// inHead is set while the next bytes belong to a head.
@@ -103,6 +111,41 @@
 	head     *intake.Entry
 }
 
+// turn is the turn of a connection in intake.Turns. A connection has one from the arrival
+// of bytes of a head or a body until it reads again, writes, or the message has ended. The
+// zero value takes no turns.
+type turn struct {
+	turns *intake.Turns
+	// held is set while the connection has a turn. It gets none once closed is set.
+	held   atomic.Bool
+	closed atomic.Bool
+}
+
+// take waits for a turn for bytes that have arrived.
+func (t *turn) take(address string, bytes int) {
+	if t.turns == nil || t.closed.Load() {
+		return
+	}
+	if w, ok := t.turns.Take(address, bytes).(intake.Waiting); ok {
+		<-w.Ready
+	}
+	t.held.Store(true)
+	if t.closed.Load() {
+		t.end()
+	}
+}
+
+func (t *turn) end() {
+	if t.held.Swap(false) {
+		t.turns.End()
+	}
+}
+
+func (t *turn) close() {
+	t.closed.Store(true)
+	t.end()
+}
+
 // withTrackedConn adds the connection to the contexts of its requests. It is used as
 // http.Server.ConnContext.
 func withTrackedConn(ctx context.Context, conn net.Conn) context.Context {
@@ -114,6 +157,7 @@
 
 // BeginBody implements limits.Conn.
 func (c *trackedConn) BeginBody(message *intake.Entry) {
+	c.taken.inBody.Store(true)
 	c.taken.connLimiter.Attach(c.taken.conn, message)
 }
 
@@ -124,9 +168,14 @@
 
 // EndMessage implements limits.Conn.
 func (c *trackedConn) EndMessage() {
+	c.taken.inBody.Store(false)
+	c.taken.turn.end()
 	c.taken.connLimiter.Attach(c.taken.conn, nil)
 }
 
+// DiscardBody implements limits.Conn.
+func (c *trackedConn) DiscardBody() { c.taken.inBody.Store(true) }
+
 // enter enters an accepted connection in the bounds of the listener. It returns false if the
 // connection must be closed.
 func (a *acceptor) enter(c *trackedConn) bool {
@@ -134,7 +183,7 @@
 		return true
 	}
 	c.taken.table, c.taken.connLimiter, c.taken.inHead = a.table, a.connLimiter, true
-	c.taken.address = addressOf(c)
+	c.taken.turn.turns, c.taken.address = a.turns, addressOf(c)
 	conn, decision := a.connLimiter.Open(c.taken.address, c, time.Now())
 	granted, ok := decision.(intake.Granted)
 	c.taken.conn = conn
@@ -159,6 +208,7 @@
 	if c.begun.Load() {
 		_ = c.SetLinger(0)
 	}
+	c.taken.turn.close()
 	_ = c.TCPConn.Close()
 }
 
@@ -192,22 +242,30 @@
 	}
 }
 
-// afterRead records the bytes that have arrived.
+// afterRead records the bytes that have arrived, and waits for a turn to parse them.
 func (c *trackedConn) afterRead(n int) {
 	t := &c.taken
 	if t.connLimiter == nil || n <= 0 {
 		return
 	}
 	t.connLimiter.Receive(t.conn, n)
+	if t.recordHead(n) || t.inBody.Load() {
+		t.turn.take(t.address, n)
+	}
+}
+
+// recordHead records bytes of a head. It reports whether the bytes belong to one.
+func (t *taken) recordHead(n int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.inHead {
-		return
+		return false
 	}
 	t.headRead += n
 	if t.head != nil {
 		t.table.Progress(t.head, int64(n), time.Now())
 	}
+	return true
 }
 
 // record follows the states of a connection.
@@ -215,6 +273,8 @@
 	if t.connLimiter == nil {
 		return
 	}
+	t.turn.end()
+	t.inBody.Store(false)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
@@ -244,6 +304,7 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.TCPConn.Close()
+	c.taken.turn.close()
 	if c.taken.connLimiter != nil && c.taken.conn != nil {
 		c.taken.connLimiter.Close(c.taken.conn)
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -88,7 +88,8 @@
 // EndWrite ends BeginWrite.
 func (c *Conn) EndWrite() { c.writingSince.Store(0) }
 
-// Decision is the answer to a wish for memory or a connection. The interface is sealed.
+// Decision is the answer to a wish for memory, a connection or a turn. The interface is
+// sealed.
 type Decision interface{ decision() }
 
 type (
@@ -96,10 +97,13 @@
 	Granted struct{ Evicted []Holder }
 	// Refused refuses it. The sender may come back after RetryAfter.
 	Refused struct{ RetryAfter time.Duration }
+	// Waiting delays it until Ready is closed.
+	Waiting struct{ Ready <-chan struct{} }
 )
 
 func (Granted) decision() {}
 func (Refused) decision() {}
+func (Waiting) decision() {}
 
 // Limits are the bounds of a host. Zero values of Memory set no bound on memory.
 type Limits struct {
--- a/intake/script_test.go
+++ b/intake/script_test.go
@@ -15,7 +15,8 @@
 
 // TestScripts guards against an account that grants more than its bound, that ends a
 // message which may have run, that lets stalled messages or a single address keep others
-// out, and against connections that keep others out. Time is virtual.
+// out, against connections that keep others out, and against addresses that take the
+// processor from others. Time is virtual.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{entries: make(map[string]*Entry), conns: make(map[string]*Conn), now: time.Unix(1000, 0)}
@@ -30,6 +31,9 @@
 	conns       map[string]*Conn
 	evicted     []string
 	now         time.Time
+	turns       *Turns
+	// ready are the turns that wait, by their names.
+	ready map[string]<-chan struct{}
 }
 
 // named is a Holder that notes its eviction.
@@ -85,6 +89,17 @@
 		s.connLimiter.Attach(s.conns[text("name")], s.entries[text("message")])
 	case "write":
 		s.conns[text("name")].BeginWrite(s.now)
+	case "turns":
+		s.turns, s.ready = NewTurns(int(number("limit"))), make(map[string]<-chan struct{})
+	case "take":
+		if w, ok := s.turns.Take(text("from"), int(number("bytes"))).(Waiting); ok {
+			s.ready[text("name")] = w.Ready
+			return "waits\n"
+		}
+		return "granted\n"
+	case "finish":
+		s.turns.End()
+		return s.granted()
 	case "close":
 		s.connLimiter.Close(s.conns[text("name")])
 	case "counts":
@@ -95,6 +110,19 @@
 	return ""
 }
 
+// granted returns the turns that have been granted since the last call.
+func (s *script) granted() string {
+	for name, ready := range s.ready {
+		select {
+		case <-ready:
+			delete(s.ready, name)
+			return name + "\n"
+		default:
+		}
+	}
+	return "none\n"
+}
+
 func count(t *testing.T, d *datadriven.TestData) int {
 	if !d.HasArg("count") {
 		return 1
--- a/intake/table.go
+++ b/intake/table.go
@@ -150,8 +150,8 @@
 // minStood is the least time, in seconds, by which the bytes of a message are divided.
 const minStood = 0.001
 
-// Progress records bytes that were read or written.
-func (t *Table) Progress(e *Entry, bytes int64, now time.Time) {
+// Progress records bytes that were read or written, and returns Deadline.
+func (t *Table) Progress(e *Entry, bytes int64, now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.Moved += bytes
@@ -159,6 +159,7 @@
 	if e.WindowMoved += bytes; e.WindowMoved >= t.limits.Least {
 		e.WindowBegan, e.WindowMoved = now, 0
 	}
+	return e.WindowBegan.Add(t.limits.Window)
 }
 
 // Deadline returns the time by which the message must have moved more bytes.
--- a/limits/answer.go
+++ b/limits/answer.go
@@ -77,6 +77,7 @@
 	a.limitWrite()
 	if a.body != nil && a.body.err == nil {
 		_ = a.controller.SetReadDeadline(time.Now().Add(discardTime))
+		a.conn.DiscardBody()
 	}
 }
 
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -37,6 +37,8 @@
 	BeginBody(message *intake.Entry)
 	BeginAnswer(message *intake.Entry)
 	EndMessage()
+	// DiscardBody records that the server reads a body that the handler has not read.
+	DiscardBody()
 }
 
 // connKey is the context key of a request's Conn.
@@ -53,6 +55,7 @@
 func (noConn) BeginBody(*intake.Entry)   {}
 func (noConn) BeginAnswer(*intake.Entry) {}
 func (noConn) EndMessage()               {}
+func (noConn) DiscardBody()              {}
 
 func connOf(r *http.Request) Conn {
 	if c, ok := r.Context().Value(connKey{}).(Conn); ok {
@@ -81,6 +84,8 @@
 	freeAnswer = 8 << 10
 	// piece is the part of an answer that is written with one deadline, in bytes.
 	piece = 32 << 10
+	// armSlack is how much later than its deadline a body without progress may end.
+	armSlack = time.Second
 	// discardTime is the time for the rest of a body that the handler has not read.
 	discardTime = time.Second
 	// answerTime is the time for an answer, or the rest of one, that fits into the
@@ -127,6 +132,9 @@
 	entry    *intake.Entry
 	reserved int64
 	read     int64
+	// deadline is by when more bytes must arrive, and armed the time limit of reads.
+	deadline time.Time
+	armed    time.Time
 	// err is the error that ended the reading.
 	err error
 }
@@ -146,16 +154,15 @@
 	if len(p) > step {
 		p = p[:step]
 	}
-	table := b.limiter.Table
-	_ = b.controller.SetReadDeadline(table.Deadline(b.entry))
-	if table.IsEnded(b.entry) {
+	if b.arm() && b.limiter.Table.IsEnded(b.entry) {
+		// The time limit that ended the body is overwritten.
 		b.err = b.refusal(intake.DefaultStall)
 		b.conn.EndMessage()
 		return 0, b.err
 	}
 	n, err := b.readCloser.Read(p)
 	b.read += int64(n)
-	table.Progress(b.entry, int64(n), time.Now())
+	b.deadline = b.limiter.Table.Progress(b.entry, int64(n), time.Now())
 	if err != nil {
 		b.err = b.end(err)
 		b.conn.EndMessage()
@@ -163,6 +170,18 @@
 	return n, b.err
 }
 
+// arm sets the time limit of reads if the deadline has passed the present one, and reports
+// whether it did. The limit is somewhat later than the deadline, because setting it for each
+// read costs more than the read of a few bytes.
+func (b *body) arm() bool {
+	if !b.armed.IsZero() && !b.deadline.After(b.armed) {
+		return false
+	}
+	b.armed = b.deadline.Add(armSlack)
+	_ = b.controller.SetReadDeadline(b.armed)
+	return true
+}
+
 // prepare reserves the memory for the next bytes.
 func (b *body) prepare() error {
 	l := b.limiter
@@ -172,6 +191,7 @@
 	now := time.Now()
 	if b.entry == nil {
 		b.entry = l.Table.Begin(intake.Body{}, b.address, b, now)
+		b.deadline = l.Table.Deadline(b.entry)
 		b.conn.BeginBody(b.entry)
 	}
 	need := (b.read/step + 1) * step
