--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -49,11 +49,11 @@
 func TestCrowdDrawn(t *testing.T)            { runCrowd(t, "drawn") }
 func TestCrowdOnServe(t *testing.T)          { runCrowd(t, "serve") }
 
-// Addresses of the tests of crowds, apart from those of the soak, and the limit on
-// connections to a server, which admits a burst although the host expects others.
+// Addresses of the tests of crowds on the network of the run, apart from those of the
+// soak, and the limit on connections to a server, which admits a burst although the host expects others.
 const (
-	crowdStore       = "127.0.0.1:21902"
-	crowdHost        = "127.0.20.1"
+	crowdStore       = "0.1:21902"
+	crowdHost        = "20.1"
 	crowdServerPort  = 23000
 	crowdConnections = 1200
 )
@@ -128,15 +128,15 @@
 	binary := buildProgram(t)
 	d := &deployment{t: t, executions: &executions{runs: make(map[string]int)}, servers: make(map[string]*server), port: crowdServerPort, bodyLimit: body, connections: crowdConnections}
 	var err error
-	d.store, err = newStore(crowdStore)
+	d.store, err = newStore(loopback(crowdStore))
 	require.NoError(t, err)
 	for range zones {
 		d.addServer("single", zoneName(0))
 	}
 	d.writeRules()
-	c.host = &host{name: "host-0-0", ip: crowdHost, zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}
+	c.host = &host{name: "host-0-0", ip: loopback(crowdHost), zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}
 	c.deployment, c.ask = d, c.ordinary
-	require.NoError(t, c.host.configure(crowdStore, nil))
+	require.NoError(t, c.host.configure(loopback(crowdStore), nil))
 	require.NoError(t, c.host.start())
 	t.Cleanup(func() {
 		c.close()
--- a/soak/drawn_test.go
+++ b/soak/drawn_test.go
@@ -76,10 +76,10 @@
 
 // another starts one more host of the deployment.
 func (c *crowd) another(t *testing.T, i int) *crowd {
-	h := &host{name: fmt.Sprintf("host-0-%d", 1+i), ip: fmt.Sprintf("127.0.20.%d", 2+i), zone: c.host.zone, dir: c.host.dir, binary: c.host.binary, memory: c.host.memory, descriptors: c.host.descriptors}
+	h := &host{name: fmt.Sprintf("host-0-%d", 1+i), ip: loopback(fmt.Sprintf("20.%d", 2+i)), zone: c.host.zone, dir: c.host.dir, binary: c.host.binary, memory: c.host.memory, descriptors: c.host.descriptors}
 	x := &crowd{kinds: c.kinds, over: make(chan struct{}), deployment: c.deployment, host: h}
 	x.ask = x.ordinary
-	require.NoError(t, h.configure(crowdStore, []string{c.host.address(portPeer)}))
+	require.NoError(t, h.configure(loopback(crowdStore), []string{c.host.address(portPeer)}))
 	require.NoError(t, h.start())
 	t.Cleanup(func() {
 		x.close()
--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -23,7 +23,7 @@
 // and the system's limit on descriptors, and applies testdata/serve.json.
 func (c *crowd) startServe(t *testing.T) {
 	binary, folder := buildProgram(t), t.TempDir()
-	platform, err := fakes.NewStore(crowdStore)
+	platform, err := fakes.NewStore(loopback(crowdStore))
 	require.NoError(t, err)
 	text, err := os.ReadFile("testdata/serve.json")
 	require.NoError(t, err)
@@ -35,7 +35,7 @@
 		Indexes: []fakes.Index{{Version: 1, All: s.Shards, Shards: s.Shards}},
 	})
 	require.NoError(t, err)
-	h := &host{name: "a1", ip: crowdHost, zone: "a", dir: folder, binary: binary, program: "serve"}
+	h := &host{name: "a1", ip: loopback(crowdHost), zone: "a", dir: folder, binary: binary, program: "serve"}
 	platform.SetHosts([]fakes.Host{{Name: h.name, Kind: "entry", Zone: h.zone, State: "live", Peer: h.address(portPeer), Beat: h.address(portHeartbeat)}})
 	settings, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": h.zone, "caller": h.address(portClients), "admin": h.address(portReadiness), "peer": h.address(portPeer),
