--- a/intake/intake.go
+++ b/intake/intake.go
@@ -149,9 +149,11 @@
 	clientShare = 0.5
 	peerShare   = 0.2
 	statusShare = 0.03
+	// programBytes is the memory of an idle process, which is the same on all hosts.
+	programBytes = 24 << 20
 	// connectionBytes is the memory of the process for a connection without a request.
-	// connectionShare is the part of the memory for the connections of all listeners,
-	// with the kernel's buffers.
+	// connectionShare is the part of the memory beyond programBytes for the connections
+	// of all listeners, with the kernel's buffers.
 	connectionBytes = 16 << 10
 	connectionShare = 0.3
 	// leastBuffer and mostBuffer are bounds of ConnLimits.Buffer, in bytes. A window of
@@ -198,12 +200,12 @@
 	const shares = clientShare + peerShare + 2*statusShare
 	all, buffer := float64(descriptors), 0
 	if memory > 0 {
-		bytes := connectionShare * float64(memory) / shares
+		bytes := connectionShare * float64(max(0, memory-programBytes)) / shares
 		most := bytes / (connectionBytes + buffersCharge*leastBuffer)
 		if descriptors <= 0 || most < all {
 			all = most
 		}
-		buffer = min(mostBuffer, int(bytes/all-connectionBytes)/buffersCharge)
+		buffer = min(mostBuffer, max(leastBuffer, int(bytes/all-connectionBytes)/buffersCharge))
 	}
 	bound := func(share float64) int { return max(leastConnections, int(all*share)) }
 	return ConnLimits{Clients: bound(clientShare), Peers: bound(peerShare), Status: bound(statusShare), Buffer: buffer}
