--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -116,6 +116,8 @@
 // zero value takes no turns.
 type turn struct {
 	turns *intake.Turns
+	// spent is the cost of all turns so far. Only the reader uses it.
+	spent int64
 	// held is set while the connection has a turn. It gets none once closed is set.
 	held   atomic.Bool
 	closed atomic.Bool
@@ -126,9 +128,11 @@
 	if t.turns == nil || t.closed.Load() {
 		return
 	}
-	if w, ok := t.turns.Take(address, bytes).(intake.Waiting); ok {
+	cost := intake.Cost(bytes)
+	if w, ok := t.turns.Take(address, t.spent, cost).(intake.Waiting); ok {
 		<-w.Ready
 	}
+	t.spent += cost
 	t.held.Store(true)
 	if t.closed.Load() {
 		t.end()
--- a/intake/script_test.go
+++ b/intake/script_test.go
@@ -92,7 +92,9 @@
 	case "turns":
 		s.turns, s.ready = NewTurns(int(number("limit"))), make(map[string]<-chan struct{})
 	case "take":
-		if w, ok := s.turns.Take(text("from"), int(number("bytes"))).(Waiting); ok {
+		var spent int64
+		d.MaybeScanArgs(t, "spent", &spent)
+		if w, ok := s.turns.Take(text("from"), spent, Cost(int(number("bytes")))).(Waiting); ok {
 			s.ready[text("name")] = w.Ready
 			return "waits\n"
 		}
