--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -333,7 +333,7 @@
 	memory := int64(r.settings.MemoryMB) << 20
 	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(r.settings.Descriptors))
 	b := newBounds(memory, connLimits.Buffer)
-	r.intake = b.table
+	r.intake, r.turns = b.table, b.turns
 	err := errors.Join(
 		r.clientListener.limit(b, connLimits.Clients, limits.Limiter{Weight: 1}),
 		r.peerListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight}),
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -90,6 +90,7 @@
 	metricsListener *listener
 	peerListener    *listener
 	intake          *intake.Table
+	turns           *intake.Turns
 
 	started time.Time
 	// speedBlock is the input and speedSum the last result of measureSpeed.
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -166,6 +166,7 @@
 		Dropped:      r.droppedLines(),
 		Panics:       r.panics.Load(),
 		Intake:       r.intake.Counts(),
+		Turns:        r.turns.Counts(),
 
 		OwnedCaps:       caps.Owned,
 		GrantedPermits:  caps.Granted,
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -105,6 +105,8 @@
 	Panics uint64
 	// Intake holds the figures of the account of messages and connections.
 	Intake intake.Counts
+	// Turns are the turns in which the host parses what has arrived.
+	Turns intake.TurnCounts
 }
 
 // RouteMetrics holds the instruments of an entry host that serves operators' routes.
@@ -180,6 +182,8 @@
 		{"hyssophub.intake.slow", "Messages ended because they made too little progress.", func(t TierState) int64 { return int64(t.Intake.Slow) }},
 		{"hyssophub.intake.rejected", "Connections closed at once because the bound was reached.", func(t TierState) int64 { return int64(t.Intake.Rejected) }},
 		{"hyssophub.intake.closed", "Connections closed so that others had room.", func(t TierState) int64 { return int64(t.Intake.Closed) }},
+		{"hyssophub.intake.waiting", "Readers of heads and bodies that wait for a turn to parse what has arrived.", func(t TierState) int64 { return int64(t.Turns.Waiting) }},
+		{"hyssophub.intake.delayed", "Turns of readers of heads and bodies that had to wait.", func(t TierState) int64 { return int64(t.Turns.Delayed) }},
 		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
 	instruments := make([]metric.Observable, len(gauges))
