--- a/dial/connection.go
+++ b/dial/connection.go
@@ -22,6 +22,8 @@
 	source *source
 	// bodies bounds the bodies in progress on all connections of the client.
 	bodies *total
+	// memory is that of the request in progress.
+	memory Memory
 	// peek, its result isIdle and its buffer are fields, so that a check
 	// allocates nothing.
 	peek   func(fd uintptr) bool
--- a/dial/forward.go
+++ b/dial/forward.go
@@ -38,6 +38,14 @@
 	// other requests are skipped. Without ResponseID every response is accepted.
 	ID         string
 	ResponseID func(http.Header) string
+	// Memory, if not nil, keeps a body of more than freeBody bytes once it is whole.
+	Memory Memory
+}
+
+// Memory holds the bodies of responses.
+type Memory interface {
+	// Keep reserves the memory of a body. If it returns false, the exchange fails.
+	Keep(bytes int64) bool
 }
 
 // Reply is a server's complete response.
@@ -125,6 +133,8 @@
 		p.drop(conn)
 		return Reply{}, fault.NotRun{}, err
 	}
+	conn.memory = f.Memory
+	defer func() { conn.memory = nil }()
 	written, verdict, err := conn.writeRequest(f.Payload, f.Body)
 	if err != nil {
 		p.drop(conn)
@@ -346,10 +356,15 @@
 		return body, err
 	}
 	body, err := io.ReadAll(io.LimitReader(&reader, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errTooLarge
+	switch {
+	case err != nil:
+		return body, err
+	case len(body) > maxBody:
+		return body, errTooLarge
+	case len(body) > freeBody && c.memory != nil && !c.memory.Keep(int64(len(body))):
+		return nil, errBodies
 	}
-	return body, err
+	return body, nil
 }
 
 // announcedIdleTime returns how long a server keeps an idle connection according
--- a/limits/answer.go
+++ b/limits/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"hyssophub/intake"
@@ -20,6 +21,38 @@
 	limited bool
 	// writeUntil is the time limit of the last write.
 	writeUntil time.Time
+
+	// mu guards the answers of servers that the request keeps until one is written. Keep is
+	// called by the exchanges of the request, also after its end. It is acquired before
+	// the lock of the table.
+	mu    sync.Mutex
+	kept  *intake.Entry
+	ended bool
+}
+
+// Keep reserves the memory of a server's answer to the request, in bytes, until an answer is
+// written to the client. It returns false if there is no room, or if the request has ended.
+func (a *answer) Keep(bytes int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	if a.kept == nil {
+		a.kept = a.table.Begin(intake.Held{}, a.address, a, time.Now())
+	}
+	return reserve(a.table, a.kept, bytes, time.Now()) == nil
+}
+
+// releaseKept gives back what Keep has reserved.
+func (a *answer) releaseKept() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	if a.kept != nil {
+		a.table.End(a.kept)
+		a.kept = nil
+	}
 }
 
 // Unwrap is used by http.ResponseController.
@@ -38,10 +71,11 @@
 		a.limitWrite()
 		return a.ResponseWriter.Write(p)
 	}
+	// Neither the request nor the other answers to it are needed any more.
 	if a.body != nil {
-		// The request is not needed any more.
 		a.body.release()
 	}
+	a.releaseKept()
 	entry := a.table.Begin(intake.Answer{}, a.address, a, time.Now())
 	defer a.table.End(entry)
 	a.conn.BeginAnswer(entry)
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -114,6 +114,7 @@
 			r.Body = a.body
 			defer a.body.release()
 		}
+		defer a.releaseKept()
 		next.ServeHTTP(a, r)
 		a.limitRest()
 		a.limitWrite()
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -77,6 +78,10 @@
 
 // answerLength answers with the length of the body.
 func answerLength(w http.ResponseWriter, r *http.Request) {
+	if size, err := strconv.ParseInt(r.Header.Get("Keep"), 10, 64); err == nil && !w.(*answer).Keep(size) {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
 	body, err := ReadBody(w, r, scriptBody)
 	var (
 		refused *Refusal
--- a/relay/message.go
+++ b/relay/message.go
@@ -43,6 +43,15 @@
 	NetworkTime time.Duration
 	// Deadline is when the client stops waiting.
 	Deadline time.Time
+	// Memory holds the memory of the answers to the request; nil counts none.
+	Memory Memory
+}
+
+// Memory is what a request holds until its answer has been written.
+type Memory interface {
+	// Keep reserves the memory of a large answer, in bytes. It returns false if there is
+	// no room for it, or if the request has ended.
+	Keep(bytes int64) bool
 }
 
 // Priority returns the rank of the request, that of its account before that of its
@@ -67,6 +76,8 @@
 	// needs a connection of its own, because a second copy of the first answer may
 	// still arrive on the earlier one.
 	Again bool
+	// Memory is that of the request.
+	Memory Memory
 }
 
 // Outcome is the result of an exchange with a backend server. The interface is
--- a/relay/send.go
+++ b/relay/send.go
@@ -107,6 +107,7 @@
 		request: BackendRequest{
 			Choice:   choice,
 			Message:  r.request.Message,
+			Memory:   r.request.Memory,
 			Deadline: r.end,
 			Fresh:    !r.isRepeatable(),
 			Again:    slices.Contains(p.tried, choice.ID),
