--- a/dial/client.go
+++ b/dial/client.go
@@ -43,8 +43,10 @@
 
 // NewClient returns a client that opens TCP connections when they are needed.
 func NewClient() *Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return NewClientWithDialer(dialer.DialContext)
+	c := NewClientWithDialer(nil)
+	dialer := net.Dialer{Timeout: dialTimeout, Control: c.limitReceive}
+	c.dialer = dialer.DialContext
+	return c
 }
 
 // NewClientWithDialer returns a client that opens its connections with dialer, for
--- a/dial/limit.go
+++ b/dial/limit.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"hyssophub/heads"
 )
@@ -136,7 +139,12 @@
 }
 
 // totals holds the bounds of all responses on the connections of a Client.
-type totals struct{ heads, bodies total }
+type totals struct {
+	heads, bodies total
+	// receive is the size of the kernel's receive buffers, in bytes; zero leaves them to
+	// the system.
+	receive int
+}
 
 func newTotals() *totals {
 	return &totals{heads: total{limit: defaultHeads}, bodies: total{limit: defaultBodies}}
@@ -156,6 +164,23 @@
 	}
 	c.limits.heads.limit = min(defaultHeads, int64(headsShare*float64(memory)))
 	c.limits.bodies.limit = min(defaultBodies, int64(bodiesShare*float64(memory)))
+	c.limits.receive = receiveBuffer
+}
+
+// receiveBuffer is the size of the kernel's receive buffer of a connection, in bytes, on a
+// host whose memory is known. The kernel would let it grow to megabytes.
+const receiveBuffer = 64 << 10
+
+// limitReceive is used as net.Dialer.Control.
+func (c *Client) limitReceive(_, _ string, raw syscall.RawConn) error {
+	if c.limits.receive == 0 {
+		return nil
+	}
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.limits.receive)
+	})
+	return errors.Join(controlErr, err)
 }
 
 // bodyReader counts the bytes of one body beyond freeBody against a total until release.
