--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hyssophub/intake"
 )
 
@@ -131,6 +133,24 @@
 	return has
 }
 
+// queuedBytes returns the bytes in the kernel's queues of the connection; zero if it is
+// closed.
+func (c *trackedConn) queuedBytes() int64 {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var sum int64
+	_ = raw.Control(func(fd uintptr) {
+		for _, request := range []uint{unix.SIOCINQ, unix.SIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				sum += int64(n)
+			}
+		}
+	})
+	return sum
+}
+
 // end makes reads fail from a time on.
 func (c *trackedConn) end(at time.Time) {
 	c.ending.Store(true)
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// queuedBytes returns what the kernel holds for the connections: bytes that have arrived and
+// are not read, and bytes that the peers have not acknowledged.
+func (t *connTable) queuedBytes() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum int64
+	for c := range t.conns {
+		sum += c.queuedBytes()
+	}
+	return sum
+}
+
 // wait waits until all connections have ended, or for the end of ctx, whose error it
 // returns.
 func (t *connTable) wait(ctx context.Context) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 package daemon
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 	callerListener *listener
 	peerListener   *listener
 	adminListener  *listener
+	intake         bounds
 }
 
 // New starts an entry host.
@@ -102,7 +104,10 @@
 	if d.adminAPI, err = d.newAdminHandler(log); err != nil {
 		return err
 	}
-	return d.stats.Observe(metricSources{core: d.core, store: d.store})
+	return errors.Join(
+		d.stats.Observe(metricSources{core: d.core, store: d.store}),
+		d.stats.ObserveIntake(d.intake.readIntake(d.callerListener, d.peerListener, d.adminListener)),
+	)
 }
 
 // Ready reports whether the balancer should send callers to this host.
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -18,6 +18,7 @@
 	"hyssophub/intake"
 	"hyssophub/limits"
 	"hyssophub/setup"
+	"hyssophub/stats"
 )
 
 // Bounds of the messages that other hosts and administrators send, in bytes. A message of
@@ -56,6 +57,17 @@
 	}
 }
 
+// readIntake returns a function that reads the figures for the metrics of some listeners.
+func (b bounds) readIntake(listeners ...*listener) func() stats.IntakeState {
+	return func() stats.IntakeState {
+		state := stats.IntakeState{Counts: b.table.Counts(), Turns: b.turns.Counts()}
+		for _, l := range listeners {
+			state.Queued += l.conns.queuedBytes()
+		}
+		return state
+	}
+}
+
 // limit makes the connections, heads, bodies and answers of a listener keep to the bounds
 // of a host. It is called before serve.
 func (l *listener) limit(b bounds, connections int, limiter limits.Limiter) error {
@@ -333,7 +345,7 @@
 	memory := int64(r.settings.MemoryMB) << 20
 	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(r.settings.Descriptors))
 	b := newBounds(memory, connLimits.Buffer)
-	r.intake, r.turns = b.table, b.turns
+	r.intake = b
 	err := errors.Join(
 		r.clientListener.limit(b, connLimits.Clients, limits.Limiter{Weight: 1}),
 		r.peerListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight}),
@@ -351,6 +363,7 @@
 	memory := int64(cmp.Or(d.settings.MemoryMB, setup.DefaultMemoryMB)) << 20
 	connLimits := intake.ConnLimitsFor(memory, descriptorLimit(d.settings.Descriptors))
 	b := newBounds(memory, connLimits.Buffer)
+	d.intake = b
 	return errors.Join(
 		d.callerListener.limit(b, connLimits.Clients, limits.Limiter{Weight: 1}),
 		d.peerListener.limit(b, connLimits.Peers, limits.Limiter{Largest: maxPeerBytes, Weight: peerWeight}),
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -20,7 +20,6 @@
 	"hyssophub/fleet"
 	"hyssophub/flow"
 	"hyssophub/gossip"
-	"hyssophub/intake"
 	"hyssophub/logs"
 	"hyssophub/peer"
 	"hyssophub/platform"
@@ -89,8 +88,7 @@
 	readyListener   *listener
 	metricsListener *listener
 	peerListener    *listener
-	intake          *intake.Table
-	turns           *intake.Turns
+	intake          bounds
 
 	started time.Time
 	// speedBlock is the input and speedSum the last result of measureSpeed.
@@ -195,8 +193,10 @@
 		r.store.FollowRollouts()
 		r.syncer.UseRollouts(r.rollouts)
 	}
-	r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats)
-	return err
+	if r.requestMetrics, err = r.stats.NewRouteMetrics(r.readTierStats); err != nil {
+		return err
+	}
+	return r.stats.ObserveIntake(r.intake.readIntake(r.clientListener, r.readyListener, r.metricsListener, r.peerListener))
 }
 
 // Beyond requestLogBurst lines a second, one in requestLogSampling lines about
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -165,8 +165,6 @@
 		TurnedAway:   admission.Refused + admission.Expired,
 		Dropped:      r.droppedLines(),
 		Panics:       r.panics.Load(),
-		Intake:       r.intake.Counts(),
-		Turns:        r.turns.Counts(),
 
 		OwnedCaps:       caps.Owned,
 		GrantedPermits:  caps.Granted,
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -9,8 +9,6 @@
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-
-	"hyssophub/intake"
 )
 
 // Outcome is the result of a request on an operators' route, a label of the
@@ -103,10 +101,6 @@
 	Dropped uint64
 	// Panics is the number of panics that ended a request or a job.
 	Panics uint64
-	// Intake holds the figures of the account of messages and connections.
-	Intake intake.Counts
-	// Turns are the turns in which the host parses what has arrived.
-	Turns intake.TurnCounts
 }
 
 // RouteMetrics holds the instruments of an entry host that serves operators' routes.
@@ -144,10 +138,7 @@
 }
 
 func (m *Metrics) observeTierState(state func() TierState) error {
-	gauges := []struct {
-		name, description string
-		value             func(TierState) int64
-	}{
+	gauges := []gauge[TierState]{
 		{"hyssophub.rules.version", "Version of the rules in force.", func(t TierState) int64 { return int64(t.Version) }},
 		{"hyssophub.feed.revision", "Store revision of the newest change applied.", func(t TierState) int64 { return int64(t.Revision) }},
 		{"hyssophub.feed.era", "Number of times that the store came back from an older copy; 0 if it does not say.", func(t TierState) int64 { return int64(t.Era) }},
@@ -174,35 +165,9 @@
 		{"hyssophub.caps.granted", "Permits granted for requests of client accounts since the start.", func(t TierState) int64 { return int64(t.GrantedPermits) }},
 		{"hyssophub.caps.returned", "Permits that came back unused since the start.", func(t TierState) int64 { return int64(t.ReturnedPermits) }},
 		{"hyssophub.logs.dropped", "Log lines dropped because the reader was too slow.", func(t TierState) int64 { return int64(t.Dropped) }},
-		{"hyssophub.intake.memory", "Bytes reserved for messages in progress.", func(t TierState) int64 { return t.Intake.Memory }},
-		{"hyssophub.intake.bound", "Bound on the bytes reserved for messages in progress; 0 is none.", func(t TierState) int64 { return t.Intake.Bound }},
-		{"hyssophub.intake.connections", "Open connections of clients, other hosts and readers of readiness and metrics.", func(t TierState) int64 { return int64(t.Intake.Connections) }},
-		{"hyssophub.intake.refused", "Messages refused because the account of memory was full.", func(t TierState) int64 { return int64(t.Intake.Refused) }},
-		{"hyssophub.intake.evicted", "Messages ended so that others had room.", func(t TierState) int64 { return int64(t.Intake.Evicted) }},
-		{"hyssophub.intake.slow", "Messages ended because they made too little progress.", func(t TierState) int64 { return int64(t.Intake.Slow) }},
-		{"hyssophub.intake.rejected", "Connections closed at once because the bound was reached.", func(t TierState) int64 { return int64(t.Intake.Rejected) }},
-		{"hyssophub.intake.closed", "Connections closed so that others had room.", func(t TierState) int64 { return int64(t.Intake.Closed) }},
-		{"hyssophub.intake.waiting", "Readers of heads and bodies that wait for a turn to parse what has arrived.", func(t TierState) int64 { return int64(t.Turns.Waiting) }},
-		{"hyssophub.intake.delayed", "Turns of readers of heads and bodies that had to wait.", func(t TierState) int64 { return int64(t.Turns.Delayed) }},
 		{"hyssophub.host.panics", "Panics that ended a request or a job.", func(t TierState) int64 { return int64(t.Panics) }},
 	}
-	instruments := make([]metric.Observable, len(gauges))
-	observers := make([]metric.Int64ObservableGauge, len(gauges))
-	for i, g := range gauges {
-		o, err := m.meter.Int64ObservableGauge(g.name, metric.WithDescription(g.description))
-		if err != nil {
-			return oops.Wrapf(err, "metrics")
-		}
-		observers[i], instruments[i] = o, o
-	}
-	_, err := m.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
-		current := state()
-		for i, g := range gauges {
-			observer.ObserveInt64(observers[i], g.value(current))
-		}
-		return nil
-	}, instruments...)
-	return err
+	return observeGauges(m, gauges, state)
 }
 
 func boolValue(yes bool) int64 {
