--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -134,19 +134,22 @@
 		d.addServer("single", zoneName(0))
 	}
 	d.writeRules()
-	c.host = &host{name: "host-0-0", ip: loopback(crowdHost), zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}
-	c.deployment, c.ask = d, c.ordinary
-	require.NoError(t, c.host.configure(loopback(crowdStore), nil))
-	require.NoError(t, c.host.start())
 	t.Cleanup(func() {
-		c.close()
-		c.host.signal(syscall.SIGKILL)
-		c.host.waitExit(time.Second)
 		for _, s := range d.serverList() {
 			s.close()
 		}
 		d.store.close()
 	})
+	c.deployment = d
+	c.launch(t, &host{name: "host-0-0", ip: loopback(crowdHost), zone: zoneName(0), dir: t.TempDir(), binary: binary, memory: memory, descriptors: files}, nil)
+}
+
+// launch starts a host of the deployment and waits until it serves.
+func (c *crowd) launch(t *testing.T, h *host, seeds []string) {
+	c.host, c.ask = h, c.ordinary
+	require.NoError(t, h.configure(loopback(crowdStore), seeds))
+	require.NoError(t, h.start())
+	t.Cleanup(func() { c.close() })
 	require.Eventually(t, func() bool { return c.ask() == nil }, crowdStart, 50*time.Millisecond, "the host serves")
 }
 
@@ -156,12 +159,14 @@
 	return binary
 }
 
-// close ends all clients of the crowd.
+// close ends all clients of the crowd, and the host.
 func (c *crowd) close() {
 	c.endRepeats()
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
+	c.host.signal(syscall.SIGKILL)
+	c.host.waitExit(time.Second)
 }
 
 // ports are the listeners of a host by their names in the scripts.
--- a/soak/drawn_test.go
+++ b/soak/drawn_test.go
@@ -18,11 +18,10 @@
 var crowdSeeds = flag.Uint64("soak.crowds", 0, "number of drawn crowds to play in addition to the kept ones; their first seed is that of -soak.first")
 
 const (
-	// drawnEvents is the number of events in a drawn crowd, drawnGap the time between two.
-	drawnEvents = 8
-	drawnGap    = 400 * time.Millisecond
-	drawnFreeze = 300 * time.Millisecond
-	// drawnClients bounds the clients of one event.
+	// A drawn crowd has drawnEvents events, one in each drawnGap, of at most drawnClients.
+	drawnEvents  = 8
+	drawnGap     = 400 * time.Millisecond
+	drawnFreeze  = 300 * time.Millisecond
 	drawnClients = 300
 )
 
@@ -77,16 +76,8 @@
 // another starts one more host of the deployment.
 func (c *crowd) another(t *testing.T, i int) *crowd {
 	h := &host{name: fmt.Sprintf("host-0-%d", 1+i), ip: loopback(fmt.Sprintf("20.%d", 2+i)), zone: c.host.zone, dir: c.host.dir, binary: c.host.binary, memory: c.host.memory, descriptors: c.host.descriptors}
-	x := &crowd{kinds: c.kinds, over: make(chan struct{}), deployment: c.deployment, host: h}
-	x.ask = x.ordinary
-	require.NoError(t, h.configure(loopback(crowdStore), []string{c.host.address(portPeer)}))
-	require.NoError(t, h.start())
-	t.Cleanup(func() {
-		x.close()
-		h.signal(syscall.SIGKILL)
-		h.waitExit(time.Second)
-	})
-	require.Eventually(t, func() bool { return x.ask() == nil }, crowdStart, 50*time.Millisecond, "the host serves")
+	x := &crowd{kinds: c.kinds, over: make(chan struct{}), deployment: c.deployment}
+	x.launch(t, h, []string{c.host.address(portPeer)})
 	return x
 }
 
--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -50,10 +49,7 @@
 	require.NoError(t, h.start())
 	t.Cleanup(func() {
 		c.close()
-		h.signal(syscall.SIGKILL)
-		h.waitExit(time.Second)
-		_ = server.Close()
-		_ = platform.Close()
+		_ = errors.Join(server.Close(), platform.Close())
 	})
 	apply := func() bool {
 		return exec.Command(binary, "manifest", "apply", "testdata/serve.json", "--revision", "0", "--admin", h.address(portReadiness), "--token", filepath.Join(folder, "north")).Run() == nil
