--- a/intake/connections.go
+++ b/intake/connections.go
@@ -36,7 +36,7 @@
 		}
 		d.table.counts.Closed++
 		d.remove(victim)
-		if e := victim.Message; e != nil {
+		if e := victim.Message; e != nil && isEvictable(e) {
 			d.table.evict(e)
 		}
 		granted.Evicted = append(granted.Evicted, victim.Holder)
