--- a/relay/message.go
+++ b/relay/message.go
@@ -43,11 +43,11 @@
 	NetworkTime time.Duration
 	// Deadline is when the client stops waiting.
 	Deadline time.Time
-	// Memory holds the memory of the answers to the request; nil counts none.
+	// Memory accounts for the answers of servers to the request; nil counts none.
 	Memory Memory
 }
 
-// Memory is what a request holds until its answer has been written.
+// Memory is the account of what a request holds until its answer has been written.
 type Memory interface {
 	// Keep reserves the memory of a large answer, in bytes. It returns false if there is
 	// no room for it, or if the request has ended.
