--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -76,6 +76,20 @@
 	})
 }
 
+// ReportStore implements feed.Peers.
+func (p *peers) ReportStore(failing bool, returned time.Time) {
+	p.table.UpdateSelf(func(record *gossip.Record) { record.StoreFailing, record.StoreReturned = failing, returned })
+}
+
+// LastContact implements feed.Peers.
+func (p *peers) LastContact() time.Time { return p.table.LastContact() }
+
+// IsStoreFailing implements feed.Peers.
+func (p *peers) IsStoreFailing() bool { return p.table.IsStoreFailing() }
+
+// StoreReturned implements feed.Peers.
+func (p *peers) StoreReturned(silence time.Duration) time.Time { return p.table.StoreReturned(silence) }
+
 // Idle implements feed.Peers.
 func (p *peers) Idle(position store.Position) uint64 { return p.table.Idle(position) }
 
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -59,29 +59,6 @@
 	return nil
 }
 
-// recordContact records that the store answered. After a silence in which registrations
-// may have expired, their servers have renewalGrace from now on. A shorter silence, as
-// of a watch that was cut, extends no grace period.
-func (s *Syncer) recordContact(update Update, now time.Time) {
-	if !s.failingSince.IsZero() {
-		silence := now.Sub(s.answeredAt)
-		line := s.log.Info().Dur("lost_for", now.Sub(s.failingSince)).Int("in_doubt", len(s.expiring)).Stringer("position", update.Position)
-		if !s.answeredAt.IsZero() {
-			line.Dur("silence", silence)
-		}
-		line.Msg("store reachable again")
-		if silence >= s.options.expirySilence() {
-			s.recoveredAt = now
-			s.restartGrace(now)
-		}
-	}
-	s.failingSince, s.answeredAt, s.heardAt = time.Time{}, now, now
-	if !s.watching {
-		s.watching = true
-		s.log.Info().Msg("host watches the store")
-	}
-}
-
 // reportApplied reports to peers what this host has applied. contact is the time of
 // the store's answer; zero if the store did not answer.
 func (s *Syncer) reportApplied(contact time.Time) {
@@ -89,18 +66,11 @@
 	s.peers.ReportApplied(position, max(s.progress, position.Revision)-position.Revision, s.watching, contact)
 }
 
-// applyChanges applies the changes of an update in order. Deletions from the store
-// may be expiries after an outage if there are massExpiryMin or more of them, or if
-// the store recovered less than renewalGrace ago; their items are marked
+// applyChanges applies the changes of an update in order. Deletions from the store may be
+// expiries if it returned from an outage less than renewalGrace ago; their items are marked
 // MayReturn.
 func (s *Syncer) applyChanges(update Update, from origin, now time.Time) {
-	removed := 0
-	for _, item := range update.Items {
-		if item.Deleted {
-			removed++
-		}
-	}
-	mayReturn := from == fromStore && (removed >= massExpiryMin || (!s.recoveredAt.IsZero() && now.Sub(s.recoveredAt) < renewalGrace))
+	mayReturn := from == fromStore && s.mayHaveExpired(now)
 	var applied []Item
 	var newest store.Position
 	for _, item := range update.Items {
@@ -163,11 +133,11 @@
 			s.log.Info().Str("zone", c.Zone).Bool("out", c.Out).Stringer("position", item.Position).Msg("availability zone changed")
 		}
 	case ServerRegistered:
-		delete(s.expiring, c.Instance.ID)
+		delete(s.outage.expiring, c.Instance.ID)
 		s.fleet.Register(c.Instance, now)
 	case ServerRemoved:
 		if item.MayReturn {
-			s.expiring[c.ID] = expiry{key: item.Key, position: c.Position, until: now.Add(renewalGrace)}
+			s.outage.expiring[c.ID] = expiry{key: item.Key, position: c.Position, until: s.renewalDeadline(now)}
 			return
 		}
 		s.fleet.Remove(c.ID, c.Position)
@@ -210,11 +180,11 @@
 }
 
 // applyFull replaces the known items by those of a full update. Registrations that
-// it lacks may have expired during an outage, so they stay in use for
-// renewalGrace.
+// it lacks stay in use until their deadline if they may have expired in an outage.
 func (s *Syncer) applyFull(update Update, now time.Time) {
 	var removed []Item
-	if update.Position.Era > s.history.position.Era {
+	isNewEra := update.Position.Era > s.history.position.Era
+	if isNewEra {
 		holds := update.Era.Since.IsZero() || now.Sub(update.Era.Since) < s.options.rewriteTime()
 		if known := s.history.position; known.Revision > 0 {
 			s.log.Warn().Uint64("from", known.Era).Stringer("position", update.Position).Msg("era of the store has changed")
@@ -223,9 +193,8 @@
 			}
 		}
 		removed = s.history.enter(update, now, holds)
-		s.restartGrace(now)
 	} else {
-		removed = s.history.replace(update)
+		removed = s.history.replace(update, s.mayHaveExpired(now))
 	}
 	for _, item := range update.Items {
 		// Items that the history holds in a newer version are skipped. The tables
@@ -237,55 +206,8 @@
 	for _, item := range removed {
 		s.applyChange(item, now)
 	}
-	s.log.Info().Stringer("position", update.Position).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
-}
-
-// removeExpired removes the registrations that were not renewed within renewalGrace. No
-// registration can be renewed while the store does not answer, so none is removed until it
-// answers this host or, if it does not, another one.
-func (s *Syncer) removeExpired(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	isFailing := !s.failingSince.IsZero()
-	if isFailing {
-		s.recordPeerContact(now)
-	}
-	s.releaseLost(now, isFailing)
-	removed, keys := 0, zerolog.Arr()
-	for id, e := range s.expiring {
-		if now.Before(e.until) || (isFailing && s.heardAt.Before(e.until)) {
-			continue
-		}
-		delete(s.expiring, id)
-		s.fleet.Remove(id, e.position)
-		s.history.settle(e.key, e.position)
-		if removed++; removed <= maxLoggedKeys {
-			keys.Str(id)
-		}
-	}
-	if removed > 0 {
-		s.log.Info().Int("servers", removed).Array("ids", keys).Msg("registrations not renewed, backend servers removed")
-	}
-}
-
-// recordPeerContact records when the store last answered another host that knows nothing
-// newer, while it does not answer this one. If it answered none of them for peerSilence,
-// registrations may have expired, and the grace periods start again.
-func (s *Syncer) recordPeerContact(now time.Time) {
-	checked := s.peers.CheckedAt(s.history.position)
-	if !checked.After(s.heardAt) {
-		return
-	}
-	if checked.Sub(s.heardAt) >= s.options.peerSilence() {
+	if isNewEra {
 		s.restartGrace(now)
 	}
-	s.heardAt = checked
-}
-
-// restartGrace gives the servers whose registrations may be renewed the whole of
-// renewalGrace from now on.
-func (s *Syncer) restartGrace(now time.Time) {
-	for id, e := range s.expiring {
-		s.expiring[id] = expiry{key: e.key, position: e.position, until: now.Add(renewalGrace)}
-	}
+	s.log.Info().Stringer("position", update.Position).Int("items", len(update.Items)).Int("gone", len(removed)).Msg("full state applied")
 }
--- a/feed/change.go
+++ b/feed/change.go
@@ -157,6 +157,16 @@
 	// no further change, and whether this host watches the store. contact is the time of
 	// the store's answer; zero if the store did not answer.
 	ReportApplied(position store.Position, idle uint64, watching bool, contact time.Time)
+	// ReportStore records for the heartbeats whether the store leaves the calls of this
+	// host without an answer, and when it returned after an outage; zero means never.
+	ReportStore(failing bool, returned time.Time)
+	// LastContact returns when the store last answered any host, and IsStoreFailing whether
+	// it leaves the calls of another host without an answer.
+	LastContact() time.Time
+	IsStoreFailing() bool
+	// StoreReturned returns when another host last found the store back after it had
+	// answered no host for a time; zero if none did.
+	StoreReturned(silence time.Duration) time.Time
 	// Idle returns the greatest number of revisions after a position that are known to
 	// bring no further change to any host whose newest change is at the position.
 	Idle(position store.Position) uint64
--- a/feed/eras.go
+++ b/feed/eras.go
@@ -165,8 +165,8 @@
 	if _, isServer := s.decode(Item{Key: key, Deleted: true}).(ServerRemoved); !isServer || !s.history.lost[key].Deleted {
 		return since.Add(s.options.rewriteTime())
 	}
-	if s.recoveredAt.After(since) {
-		since = s.recoveredAt
+	if s.outage.returnedAt.After(since) {
+		since = s.outage.returnedAt
 	}
 	return since.Add(renewalGrace)
 }
@@ -177,7 +177,7 @@
 	released, keys := 0, zerolog.Arr()
 	for key := range s.history.lost {
 		until := s.lostUntil(key)
-		if now.Before(until) || (isFailing && s.heardAt.Before(until)) {
+		if now.Before(until) || (isFailing && s.outage.heardAt.Before(until)) {
 			continue
 		}
 		s.applyChange(s.history.release(key), now)
--- a/feed/history.go
+++ b/feed/history.go
@@ -128,9 +128,9 @@
 func (h *history) complete(position store.Position) { h.position = store.Later(h.position, position) }
 
 // replace replaces the items by those of a full update of the same era and returns
-// deletions of the items that the update lacks. Items that are newer than the update, and
-// lost versions that were not written again, stay.
-func (h *history) replace(update Update) []Item {
+// deletions of the items that the update lacks, which may have expired if mayReturn is set.
+// Items that are newer than the update, and lost versions that were not written again, stay.
+func (h *history) replace(update Update, mayReturn bool) []Item {
 	listed := make(map[string]bool, len(update.Items))
 	for _, item := range update.Items {
 		listed[item.Key] = true
@@ -143,7 +143,7 @@
 		case isLost && item.Deleted:
 			gone = append(gone, Item{Key: key, Position: update.Position, Deleted: true})
 		case !item.Deleted:
-			removed = append(removed, Item{Key: key, Position: update.Position, Deleted: true, MayReturn: true})
+			removed = append(removed, Item{Key: key, Position: update.Position, Deleted: true, MayReturn: mayReturn})
 		}
 	}
 	isCurrent := !h.position.IsAfter(update.Position)
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -87,6 +87,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		s.syncer.followPeers(ctx)
+	case "others":
+		// What the other hosts say of the store: its last answer to one of them is now.
+		s.peers.contact, s.peers.peerFails = s.now, d.HasArg("fail")
+		if d.HasArg("returned") {
+			s.peers.peerReturned = s.now
+		}
 	case "expire":
 		s.syncer.removeExpired(s.now)
 	case "status":
@@ -225,6 +231,11 @@
 type recordedPeers struct {
 	position  store.Position
 	announced int
+	// contact is when the store last answered, and peerFails and peerReturned are what
+	// another host says of it.
+	contact      time.Time
+	peerFails    bool
+	peerReturned time.Time
 }
 
 func (*recordedPeers) ShouldWatch(time.Time) bool            { return true }
@@ -235,11 +246,19 @@
 func (*recordedPeers) Suspect(string, time.Time)             {}
 func (*recordedPeers) Idle(store.Position) uint64            { return 0 }
 func (t *recordedPeers) Announce()                           { t.announced++ }
+func (*recordedPeers) ReportStore(bool, time.Time)           {}
+func (t *recordedPeers) LastContact() time.Time              { return t.contact }
+func (t *recordedPeers) IsStoreFailing() bool                { return t.peerFails }
+
+func (t *recordedPeers) StoreReturned(time.Duration) time.Time { return t.peerReturned }
 
 func (*recordedPeers) Changes(context.Context, string, store.Position) (Update, error) {
 	return Update{}, nil
 }
 
-func (t *recordedPeers) ReportApplied(position store.Position, _ uint64, _ bool, _ time.Time) {
+func (t *recordedPeers) ReportApplied(position store.Position, _ uint64, _ bool, contact time.Time) {
 	t.position = position
+	if !contact.IsZero() {
+		t.contact = contact
+	}
 }
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -17,26 +17,6 @@
 )
 
 const (
-	// renewalGrace is how long backend servers may take to register again after
-	// their registrations expired in an outage of the store, counted from its next
-	// answer. The platform specifies about two seconds.
-	renewalGrace = 2200 * time.Millisecond
-	// defaultReportInterval is the time between two reports of a backend server to the
-	// store if the settings do not say.
-	defaultReportInterval = 1200 * time.Millisecond
-	// expiryReports is the number of report intervals without an answer of the store from
-	// which on registrations may have expired meanwhile. The store removes a registration
-	// after three of them, the first of which may have passed before.
-	expiryReports = 2
-	// minExpirySilence is more than renewalGrace, so that a store that answers in between
-	// cannot extend a grace period.
-	minExpirySilence = renewalGrace + 200*time.Millisecond
-	// peerDelay is the time by which the answers of the store to other hosts, known from
-	// heartbeats, may be further apart: most of a watch and its batch.
-	peerDelay = 1600 * time.Millisecond
-	// massExpiryMin is the number of deletions in one answer of the store at which
-	// they are treated as expiries in an outage and not as single departures.
-	massExpiryMin = 4
 	// rewriteBound is the least time after a change of era in which versions that the store
 	// has lost stay in force unless they are written again, and rewriteReports the least
 	// number of report intervals: the store removes the registration of a server that has
@@ -46,14 +26,6 @@
 	// retryMin and retryMax bound the backoff after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
-	// watchTime is how long the store holds a watch open if there is no change. The
-	// platform expects a host to be in contact with the store again four seconds after
-	// a disturbance. A watch that no longer gets an answer must have been replaced by
-	// then.
-	watchTime = 2500 * time.Millisecond
-	// probeTime is the wait of a watch after a failed call. It shows at once whether
-	// the store answers again, also if it has no change.
-	probeTime = time.Millisecond
 	// batchPause is the pause between two calls that wait for changes. It batches
 	// changes that follow each other closely, because each call is charged.
 	batchPause = 400 * time.Millisecond
@@ -81,7 +53,7 @@
 	notified chan struct{}
 
 	// mu comes before the locks of the tables in the lock order. It guards the
-	// fields down to expiring.
+	// fields down to malformed.
 	mu      sync.Mutex
 	history *history
 	// caughtUp says that a full state was applied that was up to date. Until then
@@ -93,33 +65,14 @@
 	// watching says whether this host gets changes from the store itself: it last
 	// got an answer and has not relied on peers since.
 	watching bool
-	// failingSince is when the store stopped answering; zero while it answers or
-	// while this host relies on peers.
-	failingSince time.Time
-	// answeredAt is when the store last answered this host, and heardAt when it last
-	// answered this or another host, as far as that is known.
-	answeredAt time.Time
-	heardAt    time.Time
-	// recoveredAt is when the store last answered after a silence of expirySilence or
-	// more.
-	recoveredAt time.Time
+	outage   outage
 	// malformed counts the entries that were ignored.
 	malformed uint64
-	// expiring holds by instance ID the deleted registrations that may be renewed.
-	expiring map[string]expiry
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
-// expiry is a deleted registration whose instance stays in use until a deadline.
-type expiry struct {
-	// key and position are those of the deletion.
-	key      string
-	position store.Position
-	until    time.Time
-}
-
 // Options are the settings of a Syncer.
 type Options struct {
 	// ReportInterval is the time between two reports of a backend server to the store; zero
@@ -130,15 +83,6 @@
 	OnPanic func(work.Panic)
 }
 
-// expirySilence is the time without an answer of the store from which on registrations may
-// have expired meanwhile.
-func (o Options) expirySilence() time.Duration {
-	return max(minExpirySilence, expiryReports*o.ReportInterval)
-}
-
-// peerSilence is expirySilence for the answers of the store to other hosts.
-func (o Options) peerSilence() time.Duration { return o.expirySilence() + peerDelay }
-
 // rewriteTime is the time after a change of era in which lost versions stay in force.
 func (o Options) rewriteTime() time.Duration {
 	return max(rewriteBound, rewriteReports*o.ReportInterval)
@@ -156,7 +100,7 @@
 		options:  options,
 		notified: make(chan struct{}, 1),
 		history:  newHistory(),
-		expiring: make(map[string]expiry),
+		outage:   outage{expiring: make(map[string]expiry)},
 	}
 }
 
@@ -206,7 +150,7 @@
 func (s *Syncer) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Status{CheckedAt: s.peers.CheckedAt(s.history.position), InDoubt: len(s.expiring), Malformed: s.malformed, Lost: len(s.history.lost)}
+	return Status{CheckedAt: s.peers.CheckedAt(s.history.position), InDoubt: len(s.outage.expiring), Malformed: s.malformed, Lost: len(s.history.lost)}
 }
 
 // ChangesAfter returns the changes after a position for another host, or the full
@@ -303,15 +247,16 @@
 // are due to be released, and not at all if the last call
 // failed, because no registration is removed before the store answers again.
 func (s *Syncer) watchWait(now time.Time) time.Duration {
-	if !s.failingSince.IsZero() {
-		return probeTime
+	if s.outage.isFailing() {
+		return probeWait
 	}
-	wait := watchTime
-	for _, e := range s.expiring {
-		wait = min(wait, max(probeTime, e.until.Sub(now)))
+	// The pause after changes is part of the time between two answers.
+	wait := max(probeWait, s.outage.heardAt.Add(watchTime).Sub(now))
+	for _, e := range s.outage.expiring {
+		wait = min(wait, max(probeWait, e.until.Sub(now)))
 	}
 	for key := range s.history.lost {
-		wait = min(wait, max(probeTime, s.lostUntil(key).Sub(now)))
+		wait = min(wait, max(probeWait, s.lostUntil(key).Sub(now)))
 	}
 	return wait
 }
@@ -320,10 +265,11 @@
 // notifyTimeout, and fetches newer changes.
 func (s *Syncer) followPeers(ctx context.Context) {
 	s.mu.Lock()
-	if s.watching || !s.failingSince.IsZero() {
+	if s.watching || s.outage.isFailing() {
 		// Other hosts reach the store, so deletions become final without an answer of
 		// the store to this host.
-		s.watching, s.failingSince = false, time.Time{}
+		s.watching, s.outage.failingSince = false, time.Time{}
+		s.peers.ReportStore(false, s.outage.returnedAt)
 		s.log.Info().Msg("host relies on other hosts to watch the store")
 	}
 	s.reportApplied(time.Time{})
@@ -384,14 +330,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// recordFailure records that the store did not answer.
-func (s *Syncer) recordFailure(err error, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.watching = false
-	if s.failingSince.IsZero() {
-		s.failingSince = now
-		s.log.Warn().Err(err).Stringer("position", s.history.position).Msg("store unreachable")
-	}
-}
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -402,6 +402,16 @@
 func (h *worldHost) Idle(position store.Position) uint64      { return h.table.Idle(position) }
 func (h *worldHost) Load(ctx context.Context) (Update, error) { return h.world.store.load(ctx, h.name) }
 
+func (h *worldHost) LastContact() time.Time { return h.table.LastContact() }
+func (h *worldHost) IsStoreFailing() bool   { return h.table.IsStoreFailing() }
+func (h *worldHost) StoreReturned(silence time.Duration) time.Time {
+	return h.table.StoreReturned(silence)
+}
+
+func (h *worldHost) ReportStore(failing bool, returned time.Time) {
+	h.table.UpdateSelf(func(r *gossip.Record) { r.StoreFailing, r.StoreReturned = failing, returned })
+}
+
 func (h *worldHost) Wait(ctx context.Context, after uint64, wait time.Duration) (Update, error) {
 	return h.world.store.watch(ctx, h.name, after, wait)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -82,6 +82,11 @@
 		s.table.Suspect(d.CmdArgs[0].Key, s.now)
 	case "clear-suspect":
 		s.table.ClearSuspect(d.CmdArgs[0].Key)
+	case "store":
+		return s.showStore()
+	case "answered":
+		s.table.UpdateSelf(func(r *Record) { r.StoreContact = s.now })
+		return s.showStore()
 	case "applied":
 		position := parsePosition(d.CmdArgs[0].Key)
 		s.table.UpdateSelf(func(r *Record) { r.Position = position })
@@ -89,6 +94,20 @@
 	return s.show()
 }
 
+// storeSilence is the time without an answer that is an outage in the scripts.
+const storeSilence = 2400 * time.Millisecond
+
+// showStore renders what is known of the store, in times since the start.
+func (s *script) showStore() string {
+	since := func(at time.Time) string {
+		if at.IsZero() {
+			return "never"
+		}
+		return at.Sub(s.start).String()
+	}
+	return fmt.Sprintf("answered %s, failing %t, returned %s", since(s.table.LastContact()), s.table.IsStoreFailing(), since(s.table.StoreReturned(storeSilence)))
+}
+
 func (s *script) reachability() string {
 	return fmt.Sprintf("unreachable %v, isolated %t", s.table.UnreachableZones(s.now), s.table.IsIsolated(s.now))
 }
@@ -106,6 +125,10 @@
 		case "contact":
 			r.StoreContact = s.now.Add(-duration(t, value))
 			r.Watching = true
+		case "failing":
+			r.StoreFailing = true
+		case "returned":
+			r.StoreReturned = s.now.Add(-duration(t, value))
 		case "revision":
 			r.Position = parsePosition(value)
 		case "incarnation":
--- a/gossip/host.go
+++ b/gossip/host.go
@@ -52,6 +52,10 @@
 	LastSeen time.Time
 	// StoreContact is when the store last answered the host; zero means never.
 	StoreContact time.Time
+	// StoreFailing is set while the store leaves the calls of the host without an answer.
+	// StoreReturned is when the host found it back after an outage; zero if it saw none.
+	StoreFailing  bool
+	StoreReturned time.Time
 	// lastDirect is when a heartbeat last arrived from the host itself and not
 	// through another host.
 	lastDirect time.Time
--- a/gossip/round.go
+++ b/gossip/round.go
@@ -196,6 +196,7 @@
 // host once.
 func (t *Table) heartbeat(now time.Time, samples ...sample) Heartbeat {
 	hb := Heartbeat{Sender: t.self}
+	hb.Sender.dropOldReturn(now)
 	hb.Sender.LastSeen = now
 	hb.Sender.Joining = now.Sub(t.started) < joiningTime
 	carried := make(map[*Record]bool)
@@ -206,6 +207,7 @@
 				break
 			}
 			if !carried[r] && t.isLive(r, now) {
+				r.dropOldReturn(now)
 				hb.Others = append(hb.Others, *r)
 				carried[r] = true
 				remaining--
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -54,6 +54,8 @@
 	hosts   map[string]*Record
 	// eraSince is when the local host followed the store into its present era.
 	eraSince time.Time
+	// contacts are the answers of the store to any host, oldest first.
+	contacts []time.Time
 	// zones holds the reachability by availability zone.
 	zones map[string]*reachability
 	// fullWeight is the weight of the local host at its best speed.
@@ -75,6 +77,7 @@
 	defer t.mu.Unlock()
 	before := t.self.Position
 	change(&t.self)
+	t.recordContact(t.self.StoreContact)
 	if t.self.Position.Era != before.Era && before != (store.Position{}) {
 		t.eraSince = time.Now()
 	}
@@ -111,6 +114,7 @@
 	if zone := t.zoneReachability(r.Zone); r.LastSeen.After(zone.lastHeartbeat) {
 		zone.lastHeartbeat = r.LastSeen
 	}
+	t.recordContact(r.StoreContact)
 	known, ok := t.hosts[r.Name]
 	switch {
 	case !ok:
--- a/peer/gossip_socket.go
+++ b/peer/gossip_socket.go
@@ -94,6 +94,10 @@
 		Size:        uint32(max(0, r.ZoneSize)),
 	}
 	encodeAddresses(msg, r.Address, r.HeartbeatAddress)
+	msg.Failing = r.StoreFailing
+	if !r.StoreReturned.IsZero() {
+		msg.Returned = uint32(max(0, now.Sub(r.StoreReturned).Milliseconds())) + 1
+	}
 	if !r.StoreContact.IsZero() {
 		msg.Contact = uint32(max(0, now.Sub(r.StoreContact).Milliseconds())) + 1
 	}
@@ -157,5 +161,9 @@
 	if contact := msg.GetContact(); contact > 0 {
 		r.StoreContact = now.Add(-time.Duration(contact-1) * time.Millisecond)
 	}
+	r.StoreFailing = msg.GetFailing()
+	if returned := msg.GetReturned(); returned > 0 {
+		r.StoreReturned = now.Add(-time.Duration(returned-1) * time.Millisecond)
+	}
 	return r
 }
