--- a/feed/change.go
+++ b/feed/change.go
@@ -125,8 +125,9 @@
 	Load(ctx context.Context) (Update, error)
 	// Wait returns the changes after a revision as soon as there are any, or no
 	// items once the store has waited for them for the given time. The answer may be of
-	// another era than the revision.
-	Wait(ctx context.Context, after uint64, wait time.Duration) (Update, error)
+	// another era than the revision. The call fails if no answer has begun after the time
+	// timeout, and the next one then uses a fresh connection.
+	Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error)
 	// Decode converts an item. It returns nil for an item that is neither rules, a
 	// zone nor a registration.
 	Decode(item Item) Change
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -40,7 +40,7 @@
 	return load()
 }
 
-func (p *fakeSource) Wait(ctx context.Context, after uint64, _ time.Duration) (Update, error) {
+func (p *fakeSource) Wait(ctx context.Context, after uint64, _, _ time.Duration) (Update, error) {
 	p.mu.Lock()
 	p.waits = append(p.waits, after)
 	wait := p.wait
--- a/feed/outage.go
+++ b/feed/outage.go
@@ -8,9 +8,9 @@
 
 // Times that bound how long a backend server stays in use whose registration is gone. An
 // outage of the store that lets registrations expire lasts expiryReports report intervals
-// or longer, and every host that watches the store gets an answer more often than that. So an
-// outage is told from watchers that are lost, and removals that come with these take effect
-// at once.
+// or longer, and every host that watches the store gets an answer, or no answer on a fresh
+// connection, more often than that. So an outage is told from silent connections and from
+// watchers that are lost, and removals that come with these take effect at once.
 const (
 	// renewalGrace is how long backend servers may take to register again after
 	// their registrations expired in an outage of the store, counted from its next
@@ -30,14 +30,19 @@
 	// heartbeats, may be further apart: most of a watch and its batch.
 	peerDelay = 1600 * time.Millisecond
 	// watchTime is the longest time from an answer of the store to the end of the next
-	// watch.
-	watchTime = 1600 * time.Millisecond
+	// watch, and overdueTime that from there until the watch is given up because its
+	// connection may be silent.
+	watchTime   = 1600 * time.Millisecond
+	overdueTime = 400 * time.Millisecond
+	// noticeTime is the time after which a silent connection to the store is replaced.
+	noticeTime = watchTime + overdueTime
 	// probeWait is the wait of a watch after a failed call. It shows at once whether
-	// the store answers again, also if it has no change.
-	probeWait = time.Millisecond
+	// the store answers again, also if it has no change. A slow store has probeTimeout.
+	probeWait    = time.Millisecond
+	probeTimeout = time.Second
 	// drainTime is the time after the store confirmed that a server has left in which the
 	// platform tolerates requests to it, and drainMargin the part of it that is left after
-	// the loss of a watcher was noticed.
+	// the loss of a watcher or a silent connection was noticed.
 	drainTime   = 3 * time.Second
 	drainMargin = 500 * time.Millisecond
 )
--- a/feed/outage_test.go
+++ b/feed/outage_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRemovalTimes guards against times that do not add up: the wait of a watch must not
-// count as an outage, and a removal must be in force in time on hosts that hear of it late
-// because the watcher of their zone is lost.
+// TestRemovalTimes guards against times that do not add up: a silent connection to the store
+// must be replaced before its silence counts as an outage, and a removal must be in force in
+// time on hosts that hear of it late because the watcher of their zone is lost.
 func TestRemovalTimes(t *testing.T) {
 	const (
 		// lostWatcherTime is the time after which a host of a small zone no longer takes
@@ -19,7 +19,8 @@
 		// the hosts of a zone.
 		callTime = 300 * time.Millisecond
 	)
-	require.LessOrEqual(t, watchTime+callTime, minExpirySilence)
+	require.LessOrEqual(t, noticeTime+callTime, minExpirySilence)
+	require.LessOrEqual(t, noticeTime+callTime, drainTime-drainMargin)
 	require.LessOrEqual(t, lostWatcherTime+notifyTimeout+callTime, drainTime-drainMargin)
 	require.Less(t, renewalGrace, minExpirySilence)
 }
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -197,8 +197,10 @@
 // zone/NAME and server/ID.
 type decoder struct{}
 
-func (decoder) Load(context.Context) (Update, error)                        { return Update{}, nil }
-func (decoder) Wait(context.Context, uint64, time.Duration) (Update, error) { return Update{}, nil }
+func (decoder) Load(context.Context) (Update, error) { return Update{}, nil }
+func (decoder) Wait(context.Context, uint64, time.Duration, time.Duration) (Update, error) {
+	return Update{}, nil
+}
 
 func (decoder) Decode(item Item) Change {
 	kind, name, _ := strings.Cut(item.Key, "/")
--- a/feed/store_test.go
+++ b/feed/store_test.go
@@ -32,6 +32,8 @@
 	dropped uint64
 	// wake is closed and replaced at each write, and cut when the watches that wait end.
 	wake, cut chan struct{}
+	// silent is closed and replaced when the watches that wait go silent for good.
+	silent chan struct{}
 	// refused holds the hosts whose calls fail; "*" stands for all.
 	refused map[string]bool
 	refusal time.Time
@@ -136,6 +138,14 @@
 	s.cut = make(chan struct{})
 }
 
+// silence leaves the watches that wait without an answer; new calls are answered.
+func (s *fakeStore) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silent)
+	s.silent = make(chan struct{})
+}
+
 // refuse makes all calls of some hosts fail from now on, and those of the others not.
 func (s *fakeStore) refuse(hosts ...string) {
 	s.cutWatches()
@@ -218,6 +228,9 @@
 func (s *fakeStore) watch(ctx context.Context, host string, after uint64, wait time.Duration) (Update, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
 	for waited := false; ; {
 		s.mu.Lock()
 		update := Update{Position: s.position()}
@@ -243,6 +256,9 @@
 			return update, ctx.Err()
 		}
 		select {
+		case <-silent:
+			<-ctx.Done()
+			return Update{}, ctx.Err()
 		case <-wake:
 		case <-timer.C:
 			waited = true
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -186,6 +186,9 @@
 		case err == nil:
 			pause = retryMin
 		case ctx.Err() != nil:
+		case errors.Is(err, errOverdue):
+			// A fresh connection shows at once whether the store or only the old one is silent.
+			s.recordFailure(err, time.Now())
 		case loaded && errors.Is(err, ErrCompacted):
 			s.log.Warn().Uint64("after", s.progress).Msg("store revision compacted, reloading the full state")
 			loaded = false
@@ -212,6 +215,10 @@
 // errPanicked is the error of a step that ended with a panic.
 var errPanicked = errors.New("feed: step ended with a panic")
 
+// errOverdue is the error of a watch that the store did not answer in time, though its last
+// call was answered.
+var errOverdue = errors.New("feed: watch is overdue")
+
 func (s *Syncer) isCaughtUp() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,13 +230,22 @@
 	s.mu.Lock()
 	position := s.history.position
 	after := max(s.progress, position.Revision+s.peers.Idle(position))
-	wait := s.watchWait(time.Now())
+	began := time.Now()
+	wait := s.watchWait(began)
+	timeout := wait + overdueTime
+	isProbe := s.outage.isFailing()
+	if isProbe {
+		timeout = probeTimeout
+	}
 	s.mu.Unlock()
-	update, err := s.source.Wait(ctx, after, wait)
+	update, err := s.source.Wait(ctx, after, wait, timeout)
+	now := time.Now()
+	if err != nil && !isProbe && now.Sub(began) >= timeout {
+		return errors.Join(errOverdue, err)
+	}
 	if err != nil {
 		return err
 	}
-	now := time.Now()
 	if err := s.apply(update, fromStore, now); err != nil {
 		return err
 	}
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -75,7 +75,7 @@
 // begin starts the store and the hosts, given as NAME@ZONE.
 func (w *world) begin(hosts []string) {
 	w.start, w.hosts, w.cutOff, w.intended = time.Now(), make(map[string]*worldHost), make(map[string]bool), make(map[string]Item)
-	w.store = &fakeStore{items: make(map[string]Item), revision: 1, wake: make(chan struct{}), cut: make(chan struct{}), refused: make(map[string]bool)}
+	w.store = &fakeStore{items: make(map[string]Item), revision: 1, wake: make(chan struct{}), cut: make(chan struct{}), silent: make(chan struct{}), refused: make(map[string]bool)}
 	w.write(items("rules@0 1\nserver/base@0 one"))
 	for _, h := range hosts {
 		w.startHost(h, true)
@@ -99,6 +99,8 @@
 		w.write(items("-" + strings.Join(args, "@0\n-") + "@0"))
 	case "cut-watches":
 		w.store.cutWatches()
+	case "silence":
+		w.store.silence()
 	case "refuse":
 		w.store.refuse(args...)
 	case "limit":
@@ -412,7 +414,9 @@
 	h.table.UpdateSelf(func(r *gossip.Record) { r.StoreFailing, r.StoreReturned = failing, returned })
 }
 
-func (h *worldHost) Wait(ctx context.Context, after uint64, wait time.Duration) (Update, error) {
+func (h *worldHost) Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	return h.world.store.watch(ctx, h.name, after, wait)
 }
 
--- a/heads/paths_test.go
+++ b/heads/paths_test.go
@@ -69,7 +69,7 @@
 	{"store", func(ctx context.Context, address string) bool {
 		store := platform.NewStore(address)
 		defer store.Close()
-		_, err := store.Wait(ctx, 1, callTime)
+		_, err := store.Wait(ctx, 1, callTime, callTime+time.Second)
 		return err == nil
 	}},
 	{"kv", func(ctx context.Context, address string) bool {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -143,12 +143,18 @@
 	relayIdleTimeout = 20 * time.Second
 	// relayMaxIdleConns bounds the idle connections to one host.
 	relayMaxIdleConns = 8
+	// changesIdleTimeout is relayIdleTimeout for calls for changes of the store. Open
+	// connections may have gone silent together with those to the store, and the news
+	// must not wait for a time-out then.
+	changesIdleTimeout = time.Second
 )
 
 // RelayClient calls the other hosts that serve the operators' routes. It
 // implements relay.HelperClient.
 type RelayClient struct {
 	http *http.Client
+	// changes is the client for changes of the store.
+	changes *http.Client
 
 	mu    sync.Mutex
 	stubs map[string]peerpb.Tier
@@ -160,20 +166,30 @@
 // NewRelayClient returns a client with its own connections.
 func NewRelayClient() *RelayClient {
 	return &RelayClient{
-		http: &http.Client{Transport: limitedTransport{heads.NewTransport(&http.Transport{
-			DialContext:            (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
-			MaxIdleConnsPerHost:    relayMaxIdleConns,
-			IdleConnTimeout:        relayIdleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		})}},
+		http:       newHostClient(relayIdleTimeout),
+		changes:    newHostClient(changesIdleTimeout),
 		stubs:      make(map[string]peerpb.Tier),
 		unanswered: make(map[string]int),
 	}
 }
 
+// newHostClient returns a client for calls to other hosts that keeps idle connections for a
+// time.
+func newHostClient(idleTimeout time.Duration) *http.Client {
+	return &http.Client{Transport: limitedTransport{heads.NewTransport(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    relayMaxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	})}}
+}
+
 // Close closes the idle connections.
-func (c *RelayClient) Close() { c.http.CloseIdleConnections() }
+func (c *RelayClient) Close() {
+	c.http.CloseIdleConnections()
+	c.changes.CloseIdleConnections()
+}
 
 func (c *RelayClient) stub(address string) peerpb.Tier {
 	c.mu.Lock()
@@ -239,8 +255,10 @@
 
 // Changes requests the changes of the store after a position from a host.
 func (c *RelayClient) Changes(ctx context.Context, address string, after store.Position) (feed.Update, error) {
-	msg, err := c.stub(address).Changes(ctx, &peerpb.ChangesRequest{After: after.Revision, Era: &after.Era})
+	msg, err := peerpb.NewTierProtobufClient("http://"+address, c.changes).Changes(ctx, &peerpb.ChangesRequest{After: after.Revision, Era: &after.Era})
 	if err != nil {
+		// Other idle connections may be as silent as the one that failed.
+		c.changes.CloseIdleConnections()
 		return feed.Update{}, decodeError(err)
 	}
 	return decodeUpdate(msg, time.Now()), nil
