--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,7 @@
 	"hyssophub/feed"
 	"hyssophub/gossip"
 	"hyssophub/peer"
+	"hyssophub/share"
 	"hyssophub/store"
 	"hyssophub/work"
 )
@@ -21,9 +23,9 @@
 	table      *gossip.Table
 	client     *peer.RelayClient
 	heartbeats *peer.GossipSocket
-	seedAddrs  []string
-	// seedHeartbeatAddrs are the UDP addresses of the seeds.
-	seedHeartbeatAddrs []string
+	// mu guards seeds. It comes before the lock of the table in the lock order.
+	mu    sync.Mutex
+	seeds seeds
 	// wake makes sendHeartbeats announce the newest change at once.
 	wake chan struct{}
 }
@@ -39,8 +41,9 @@
 
 // Seeds implements feed.Peers.
 func (p *peers) Seeds(now time.Time) []string {
-	list := p.table.Addresses(now)
-	return append(list, p.seedAddrs...)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append(p.table.Addresses(now), p.seeds.calls...)
 }
 
 // Neighbours implements feed.Peers.
@@ -130,11 +133,19 @@
 				r.updateSharingHosts(now)
 				r.updateMembers(now)
 				r.measureSpeed()
-				r.send(r.hosts.NextRound(now, r.peers.seedHeartbeatAddrs), now)
+				r.announceHost(now)
+				addresses, found := r.peers.heartbeatSeeds()
+				r.send(r.hosts.NextRound(now, addresses), now)
+				r.greetFound(found, now)
 			})
 			next = time.Now().Add(r.hosts.Interval(time.Now()))
 		case <-r.peers.wake:
-			work.Guard(r.reportPanic, func() { r.send(r.hosts.Announcement(time.Now()), time.Now()) })
+			work.Guard(r.reportPanic, func() {
+				now := time.Now()
+				r.send(r.hosts.Announcement(now), now)
+				_, found := r.peers.heartbeatSeeds()
+				r.greetFound(found, now)
+			})
 		case <-r.ctx.Done():
 			return
 		}
@@ -147,6 +158,7 @@
 func (r *Relay) updateSharingHosts(now time.Time) {
 	sharingHosts := r.hosts.Expire(now)
 	if now.Sub(r.started) > discoveryTime {
+		sharingHosts = share.SharingHosts(sharingHosts, r.hosts.HasFoundTier(now))
 		r.relayTable.SetHostCount(sharingHosts)
 		r.fleet.SetHosts(sharingHosts)
 	}
--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -78,6 +78,7 @@
 	joined := r.bounds.HasJoined(now) || r.caps.IsEnforced() && r.caps.HasJoined(now)
 	r.hosts.UpdateSelf(func(record *gossip.Record) { record.Joined = joined })
 	known := r.hosts.Known(now)
+	isSearching := !r.hosts.HasFoundTier(now)
 	members := make([]flow.Member, 0, len(known))
 	deciders := make([]canary.Member, 0, len(known))
 	for _, k := range known {
@@ -91,6 +92,7 @@
 			Live:        k.Live,
 			Leaving:     k.Leaving,
 			Joined:      k.Joined,
+			Searching:   isSearching && k.Name == r.settings.Name,
 		})
 	}
 	r.bounds.SetMembers(members, now)
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -94,6 +93,8 @@
 	// speedBlock is the input and speedSum the last result of measureSpeed.
 	speedBlock [64 << 10]byte
 	speedSum   uint64
+	// announceAt is when this host may next write its address to the store.
+	announceAt time.Time
 	// capsVersion is the version of the rules whose caps updateCaps has set.
 	capsVersion uint64
 	// panics counts the panics of requests and jobs.
@@ -219,25 +220,12 @@
 	if err != nil {
 		return err
 	}
-	_, port, err := net.SplitHostPort(r.settings.HeartbeatAddr)
-	if err != nil {
-		return oops.Wrapf(err, "heartbeat address %s", r.settings.HeartbeatAddr)
-	}
 	if r.permits, err = peer.ListenPermits(r.settings.Name, r.settings.PermitAddr); err != nil {
 		return errors.Join(err, heartbeats.Close())
 	}
 	r.peers = &peers{client: peer.NewRelayClient(), heartbeats: heartbeats, wake: make(chan struct{}, 1)}
-	for _, seed := range r.settings.Seeds {
-		if seed == r.settings.PeerAddr {
-			continue
-		}
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			return oops.Wrapf(err, "seed %s", seed)
-		}
-		r.peers.seedAddrs = append(r.peers.seedAddrs, seed)
-		// All hosts listen on the same ports.
-		r.peers.seedHeartbeatAddrs = append(r.peers.seedHeartbeatAddrs, net.JoinHostPort(host, port))
+	if r.peers.seeds, err = readSeeds(r.settings); err != nil {
+		return err
 	}
 	r.hosts = gossip.NewTable(gossip.Host{
 		Name:             r.settings.Name,
@@ -265,7 +253,7 @@
 	}
 }
 
-// Reload reads the settings again. The budget takes effect at once, all other
+// Reload reads the settings again. The budget and the seeds take effect at once, all other
 // settings at the next start.
 func (r *Relay) Reload(read func() (setup.Relay, error)) {
 	settings, err := read()
@@ -273,9 +261,15 @@
 		r.log.Error().Err(err).Msg("settings cannot be reloaded, keeping the current ones")
 		return
 	}
+	list, err := readSeeds(settings)
+	if err != nil {
+		r.log.Error().Err(err).Msg("seeds cannot be reloaded, keeping the current ones")
+		return
+	}
+	r.peers.setSeeds(list)
 	budget := settings.Budget
 	r.relayTable.SetLimits(relay.BudgetLimits(budget))
-	r.log.Info().Float64("ratio", budget.Ratio).Float64("burst", budget.Burst).Dur("window", budget.Window).Msg("settings reloaded, new budget in force")
+	r.log.Info().Float64("ratio", budget.Ratio).Float64("burst", budget.Burst).Dur("window", budget.Window).Strs("seeds", list.calls).Msg("settings reloaded, new budget and seeds in force")
 }
 
 // closeStaleConnections closes connections to servers that no longer exist, until
--- a/feed/change.go
+++ b/feed/change.go
@@ -100,6 +100,13 @@
 	CheckedAt time.Time
 }
 
+// Answer is the answer of the store to a watch.
+type Answer struct {
+	Update
+	// Hosts are the heartbeat addresses of hosts that others may not know.
+	Hosts []string
+}
+
 // ErrCompacted means that the store no longer has the changes after a revision, so
 // that the full state must be loaded again.
 var ErrCompacted = errors.New("feed: store revision is compacted")
@@ -127,7 +134,7 @@
 	// items once the store has waited for them for the given time. The answer may be of
 	// another era than the revision. The call fails if no answer has begun after the time
 	// timeout, and the next one then uses a fresh connection.
-	Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error)
+	Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Answer, error)
 	// Decode converts an item. It returns nil for an item that is neither rules, a
 	// zone nor a registration.
 	Decode(item Item) Change
@@ -146,6 +153,8 @@
 	// Neighbours returns the addresses of the live hosts of the own zone in random
 	// order, and whether the local host precedes all of them.
 	Neighbours(now time.Time) (addresses []string, isFirst bool)
+	// AddHost records the heartbeat address of a host that others may not know.
+	AddHost(heartbeatAddress string)
 	// Changes asks a host for the changes after a position.
 	Changes(ctx context.Context, address string, after store.Position) (Update, error)
 	// CheckedAt returns when the store was last known to hold nothing newer than the
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -40,16 +40,17 @@
 	return load()
 }
 
-func (p *fakeSource) Wait(ctx context.Context, after uint64, _, _ time.Duration) (Update, error) {
+func (p *fakeSource) Wait(ctx context.Context, after uint64, _, _ time.Duration) (Answer, error) {
 	p.mu.Lock()
 	p.waits = append(p.waits, after)
 	wait := p.wait
 	p.mu.Unlock()
 	if wait == nil {
 		<-ctx.Done()
-		return Update{}, ctx.Err()
+		return Answer{}, ctx.Err()
 	}
-	return wait(after)
+	update, err := wait(after)
+	return Answer{Update: update}, err
 }
 
 // fakePeers are Peers whose answers a test sets.
--- a/feed/script_test.go
+++ b/feed/script_test.go
@@ -198,8 +198,8 @@
 type decoder struct{}
 
 func (decoder) Load(context.Context) (Update, error) { return Update{}, nil }
-func (decoder) Wait(context.Context, uint64, time.Duration, time.Duration) (Update, error) {
-	return Update{}, nil
+func (decoder) Wait(context.Context, uint64, time.Duration, time.Duration) (Answer, error) {
+	return Answer{}, nil
 }
 
 func (decoder) Decode(item Item) Change {
@@ -248,6 +248,7 @@
 func (*recordedPeers) Suspect(string, time.Time)             {}
 func (*recordedPeers) Idle(store.Position) uint64            { return 0 }
 func (t *recordedPeers) Announce()                           { t.announced++ }
+func (*recordedPeers) AddHost(string)                        {}
 func (*recordedPeers) ReportStore(bool, time.Time)           {}
 func (t *recordedPeers) LastContact() time.Time              { return t.contact }
 func (t *recordedPeers) IsStoreFailing() bool                { return t.peerFails }
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -238,18 +238,21 @@
 		timeout = probeTimeout
 	}
 	s.mu.Unlock()
-	update, err := s.source.Wait(ctx, after, wait, timeout)
+	answer, err := s.source.Wait(ctx, after, wait, timeout)
 	now := time.Now()
+	for _, address := range answer.Hosts {
+		s.peers.AddHost(address)
+	}
 	if err != nil && !isProbe && now.Sub(began) >= timeout {
 		return errors.Join(errOverdue, err)
 	}
 	if err != nil {
 		return err
 	}
-	if err := s.apply(update, fromStore, now); err != nil {
+	if err := s.apply(answer.Update, fromStore, now); err != nil {
 		return err
 	}
-	if len(update.Items) > 0 {
+	if len(answer.Items)+len(answer.Hosts) > 0 {
 		s.mu.Lock()
 		pause := min(batchPause, s.watchWait(now))
 		s.mu.Unlock()
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -405,6 +405,7 @@
 func (h *worldHost) Load(ctx context.Context) (Update, error) { return h.world.store.load(ctx, h.name) }
 
 func (h *worldHost) LastContact() time.Time { return h.table.LastContact() }
+func (h *worldHost) AddHost(string)         {}
 func (h *worldHost) IsStoreFailing() bool   { return h.table.IsStoreFailing() }
 func (h *worldHost) StoreReturned(silence time.Duration) time.Time {
 	return h.table.StoreReturned(silence)
@@ -414,10 +415,11 @@
 	h.table.UpdateSelf(func(r *gossip.Record) { r.StoreFailing, r.StoreReturned = failing, returned })
 }
 
-func (h *worldHost) Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error) {
+func (h *worldHost) Wait(ctx context.Context, after uint64, wait, timeout time.Duration) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return h.world.store.watch(ctx, h.name, after, wait)
+	update, err := h.world.store.watch(ctx, h.name, after, wait)
+	return Answer{Update: update}, err
 }
 
 func (h *worldHost) Announce() {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -82,6 +82,17 @@
 		s.table.Suspect(d.CmdArgs[0].Key, s.now)
 	case "clear-suspect":
 		s.table.ClearSuspect(d.CmdArgs[0].Key)
+	case "discovery":
+		return s.showDiscovery()
+	case "watches":
+		s.table.UpdateSelf(func(r *Record) { r.Watching, r.StoreContact = true, s.now })
+		return s.showDiscovery()
+	case "announced":
+		s.table.RecordAnnounced(s.now)
+		return s.showDiscovery()
+	case "expire":
+		s.table.Expire(s.now)
+		return s.showDiscovery()
 	case "store":
 		return s.showStore()
 	case "answered":
@@ -94,6 +105,10 @@
 	return s.show()
 }
 
+func (s *script) showDiscovery() string {
+	return fmt.Sprintf("found %t, announce %t", s.table.HasFoundTier(s.now), s.table.ShouldAnnounce(s.now))
+}
+
 // storeSilence is the time without an answer that is an outage in the scripts.
 const storeSilence = 2400 * time.Millisecond
 
@@ -125,6 +140,8 @@
 		case "contact":
 			r.StoreContact = s.now.Add(-duration(t, value))
 			r.Watching = true
+		case "joined":
+			r.Joined = true
 		case "failing":
 			r.StoreFailing = true
 		case "returned":
--- a/gossip/round.go
+++ b/gossip/round.go
@@ -106,6 +106,15 @@
 	}}
 }
 
+// Greeting returns a heartbeat without receivers that carries hosts of all zones, for a host
+// that may know no other one.
+func (t *Table) Greeting(now time.Time) Datagram {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sameZone, otherZones, _ := t.partition()
+	return Datagram{Heartbeat: t.heartbeat(now, sample{freshest(sameZone), sameZoneSample}, sample{freshest(otherZones), otherSample})}
+}
+
 // partition returns the known hosts of the own zone, those of other zones, and the
 // watchers of the store among the latter, each in random order.
 func (t *Table) partition() (sameZone, otherZones, watchers []*Record) {
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -55,7 +55,8 @@
 	// eraSince is when the local host followed the store into its present era.
 	eraSince time.Time
 	// contacts are the answers of the store to any host, oldest first.
-	contacts []time.Time
+	contacts  []time.Time
+	discovery discovery
 	// zones holds the reachability by availability zone.
 	zones map[string]*reachability
 	// fullWeight is the weight of the local host at its best speed.
@@ -93,6 +94,7 @@
 	if sender.Name == t.self.Name {
 		return Datagram{}
 	}
+	t.discovery.hasMet = true
 	known, ok := t.hosts[sender.Name]
 	isFirst := !ok || known.lastDirect.IsZero() || known.Incarnation != sender.Incarnation
 	sender.LastSeen, sender.lastDirect = now, now
@@ -172,14 +174,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, sizes := make(map[string]int), make(map[string]int)
+	var removed []string
 	for name, r := range t.hosts {
 		if now.Sub(r.LastSeen) > retentionTime+time.Duration(t.spreadRounds)*otherSpreadTimeout {
 			delete(t.hosts, name)
+			removed = append(removed, r.Zone)
 			continue
 		}
 		known[r.Zone]++
 		sizes[r.Zone] = max(sizes[r.Zone], r.ZoneSize)
 	}
+	for _, zone := range removed {
+		t.discovery.zoneLost = t.discovery.zoneLost || (zone != t.self.Zone && known[zone] == 0)
+	}
 	t.updateZone()
 	total := t.self.ZoneSize
 	for zone, count := range known {
@@ -215,6 +222,11 @@
 func (t *Table) ShouldWatch(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.shouldWatch(now)
+}
+
+// shouldWatch is ShouldWatch; the lock must be held.
+func (t *Table) shouldWatch(now time.Time) bool {
 	watchersBefore, watchers := 0, 0
 	// The others watch the store in its new era once their watches have ended.
 	followsEra := now.Sub(t.eraSince) < storeContactTimeout
--- a/share/member.go
+++ b/share/member.go
@@ -41,6 +41,8 @@
 	Leaving bool
 	// Joined is set if the host said that it may own rates, see HasJoined.
 	Joined bool
+	// Searching is set for the local host until it has found out whether there are others.
+	Searching bool
 }
 
 // Peer is a Member with what follows from its history.
@@ -66,6 +68,8 @@
 	// MayJoinEarly allows EarlyJoinDelay; early is set once it applies.
 	MayJoinEarly bool
 	early        bool
+	// foundAt is when this host had last found out which others there are.
+	foundAt time.Time
 }
 
 // NewMembers returns an empty set of members. self is the name of this host, which
@@ -75,13 +79,21 @@
 }
 
 // HasJoined reports whether this host may own rates. The other hosts are to be told.
-func (m *Members) HasJoined(now time.Time) bool { return now.Sub(m.joinedAt()) >= 0 }
+func (m *Members) HasJoined(now time.Time) bool {
+	self := m.Peers[m.Self]
+	return (self == nil || !self.Searching) && now.Sub(m.joinedAt()) >= 0
+}
 
 func (m *Members) joinedAt() time.Time {
+	delay := JoinDelay
 	if m.early {
-		return m.Started.Add(EarlyJoinDelay)
+		delay = EarlyJoinDelay
 	}
-	return m.Started.Add(JoinDelay)
+	// A host that finds the others late has to learn from them which rates are owned.
+	if joined, found := m.Started.Add(delay), m.foundAt.Add(AnnounceDelay); found.Before(joined) {
+		return joined
+	}
+	return m.foundAt.Add(AnnounceDelay)
 }
 
 // Set sets the hosts that are known now, the local one included.
@@ -95,6 +107,9 @@
 			m.Peers[member.Name] = p
 			m.Epoch++
 		}
+		if member.Name == m.Self && p.Searching && !member.Searching {
+			m.foundAt = now
+		}
 		if p.Live && (!member.Live || p.Incarnation != member.Incarnation) {
 			p.LostAt = now
 		}
@@ -273,10 +288,11 @@
 
 // OwnedFrom returns the time from which this host owns a rate and may grant permits for
 // it, which may be to come. It is false while another host owns the rate. The result holds
-// while Epoch is the same.
+// while Epoch is the same. A host that has not found out whether there are others owns none,
+// since one of them may own it.
 func (m *Members) OwnedFrom(key Key) (time.Time, bool) {
 	self := m.Peers[m.Self]
-	if self == nil || !self.Live {
+	if self == nil || !self.Live || self.Searching {
 		return time.Time{}, false
 	}
 	from := m.joinedAt().Add(AnnounceDelay)
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -53,6 +53,8 @@
 	// changed is closed and replaced at each write.
 	changed chan struct{}
 	fault   storeFault
+	// refusesWrites is set while the hosts' writes are refused.
+	refusesWrites bool
 	// onStatus, if not nil, is called with each status of a roll-out as it is written.
 	onStatus func(service, state string)
 	// era counts the drills. changes holds the changes of the present era, also those of
@@ -85,6 +87,12 @@
 
 func (s *store) close() { _ = s.http.Close() }
 
+func (s *store) refuseWrites(refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusesWrites = refuses
+}
+
 func (s *store) setFault(f storeFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -128,6 +128,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	if s.refusesWrites {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	current := []item{}
 	holds := true
 	for _, e := range change.Expect {
