--- a/feed/outage.go
+++ b/feed/outage.go
@@ -58,6 +58,8 @@
 	heardAt time.Time
 	// returnedAt is when the store last answered after an outage.
 	returnedAt time.Time
+	// count is the number of outages that this host found or learned of.
+	count uint64
 	// expiring holds by instance ID the deleted registrations that may be renewed.
 	expiring map[string]expiry
 }
@@ -91,8 +93,7 @@
 			Dur("silence", silence).Msg("store reachable again")
 	}
 	if silence >= s.options.expirySilence() {
-		s.outage.returnedAt = now
-		s.restartGrace(now)
+		s.recordReturn(now)
 		s.log.Warn().Dur("silence", silence).Int("in_doubt", len(s.outage.expiring)).Msg("store back after an outage, registrations may have expired")
 	}
 	s.outage.failingSince, s.outage.heardAt = time.Time{}, now
@@ -103,6 +104,16 @@
 	s.peers.ReportStore(false, s.outage.returnedAt)
 }
 
+// recordReturn records the return of the store after an outage. Several hosts may find it
+// back a moment apart.
+func (s *Syncer) recordReturn(at time.Time) {
+	if at.Sub(s.outage.returnedAt) >= renewalGrace {
+		s.outage.count++
+	}
+	s.outage.returnedAt = at
+	s.restartGrace(at)
+}
+
 // silence returns how long the store has left calls of the hosts without an answer. The
 // loss of the hosts that watched it, without such a call, is no silence of the store.
 func (s *Syncer) silence(now time.Time) time.Duration {
@@ -157,8 +168,7 @@
 	if !returned.After(s.outage.returnedAt) {
 		return
 	}
-	s.outage.returnedAt = returned
-	s.restartGrace(returned)
+	s.recordReturn(returned)
 	s.log.Info().Dur("since", now.Sub(returned)).Int("in_doubt", len(s.outage.expiring)).Msg("another host found the store back after an outage")
 }
 
--- a/feed/syncer.go
+++ b/feed/syncer.go
@@ -139,6 +139,10 @@
 	// InDoubt is the number of deleted registrations that may be renewed, whose backend
 	// servers are still in use.
 	InDoubt int
+	// Failing is set while the store leaves this host's calls without an answer, and Outages
+	// counts its outages in which registrations may have expired.
+	Failing bool
+	Outages uint64
 	// Malformed counts the entries that were ignored because they cannot be decoded.
 	Malformed uint64
 	// Lost is the number of entries that the store has lost in a change of era and that
@@ -150,7 +154,14 @@
 func (s *Syncer) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Status{CheckedAt: s.peers.CheckedAt(s.history.position), InDoubt: len(s.outage.expiring), Malformed: s.malformed, Lost: len(s.history.lost)}
+	return Status{
+		CheckedAt: s.peers.CheckedAt(s.history.position),
+		InDoubt:   len(s.outage.expiring),
+		Failing:   s.outage.isFailing(),
+		Outages:   s.outage.count,
+		Malformed: s.malformed,
+		Lost:      len(s.history.lost),
+	}
 }
 
 // ChangesAfter returns the changes after a position for another host, or the full
--- a/stats/relay.go
+++ b/stats/relay.go
@@ -61,6 +61,11 @@
 	// and may be renewed, and Malformed that of store entries that were ignored.
 	InDoubt   int
 	Malformed uint64
+	// Failing is set while the store leaves this host's calls without an answer, and Outages
+	// is the number of its outages since the host's start in which registrations may have
+	// expired.
+	Failing bool
+	Outages uint64
 	// Lost is the number of entries that the store has lost and that are in force until
 	// they are written again.
 	Lost int
@@ -68,6 +73,9 @@
 	Ready bool
 	// Hosts is the number of live hosts, including the host itself.
 	Hosts int
+	// Searching is set until the host has found other hosts, or has reason to take itself
+	// for the only one. It grants nothing of what all hosts share until then.
+	Searching bool
 	// Servers is the number of registered backend servers.
 	Servers int
 	// CutOffZones is the number of availability zones that are taken to be cut off.
@@ -146,9 +154,12 @@
 		{"hyssophub.feed.watching", "1 if the host follows the store itself.", func(t TierState) int64 { return boolValue(t.Watching) }},
 		{"hyssophub.feed.age", "Milliseconds since the store was known to hold nothing newer; -1 if never.", func(t TierState) int64 { return max(-1, t.Age.Milliseconds()) }},
 		{"hyssophub.feed.in_doubt", "Backend servers in use whose deleted registrations may be renewed.", func(t TierState) int64 { return int64(t.InDoubt) }},
+		{"hyssophub.feed.failing", "1 while the store leaves the calls of the host without an answer.", func(t TierState) int64 { return boolValue(t.Failing) }},
+		{"hyssophub.feed.outages", "Outages of the store in which registrations may have expired, since the start.", func(t TierState) int64 { return int64(t.Outages) }},
 		{"hyssophub.feed.malformed", "Store entries ignored because they cannot be decoded.", func(t TierState) int64 { return int64(t.Malformed) }},
 		{"hyssophub.host.ready", "1 if the host tells the balancer that it is ready.", func(t TierState) int64 { return boolValue(t.Ready) }},
 		{"hyssophub.tier.hosts", "Live hosts, this one included.", func(t TierState) int64 { return int64(t.Hosts) }},
+		{"hyssophub.tier.searching", "1 until the host has found other hosts or has reason to take itself for the only one.", func(t TierState) int64 { return boolValue(t.Searching) }},
 		{"hyssophub.tier.servers", "Registered backend servers.", func(t TierState) int64 { return int64(t.Servers) }},
 		{"hyssophub.tier.cut_zones", "Availability zones taken to be cut off.", func(t TierState) int64 { return int64(t.CutOffZones) }},
 		{"hyssophub.tier.limited", "Backend servers that name a rate limit.", func(t TierState) int64 { return int64(t.Limited) }},
--- a/stats/relay_test.go
+++ b/stats/relay_test.go
@@ -24,7 +24,7 @@
 		"hyssophub_route_hedges_total", "hyssophub_route_helpers_total", "hyssophub_route_missing_total",
 		"hyssophub_rules_version", "hyssophub_feed_revision", "hyssophub_feed_watching", "hyssophub_host_ready",
 		"hyssophub_feed_age", "hyssophub_feed_in_doubt", "hyssophub_feed_malformed",
-		"hyssophub_tier_hosts", "hyssophub_tier_servers", "hyssophub_tier_cut_zones", "hyssophub_logs_dropped",
+		"hyssophub_feed_failing", "hyssophub_feed_outages", "hyssophub_tier_searching", "hyssophub_tier_hosts", "hyssophub_tier_servers", "hyssophub_tier_cut_zones", "hyssophub_logs_dropped",
 		`outcome="partial"`,
 	} {
 		require.Contains(t, w.Body.String(), name)
