--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -1,9 +1,11 @@
 package cmds
 
 import (
+	"bytes"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"hyssophub/daemon"
 	"hyssophub/logs"
@@ -14,9 +16,13 @@
 	Config string `required:"" help:"Settings file of the entry host." type:"path"`
 }
 
-// Run serves until SIGTERM or an interrupt, which begins a planned stop. SIGHUP
-// before the stop reads the settings file again. A second SIGTERM or interrupt
-// ends the process at once.
+// settingsInterval is the time between two checks whether the settings file has changed, for
+// changes without a signal.
+const settingsInterval = 2 * time.Second
+
+// Run serves until SIGTERM or an interrupt, which begins a planned stop. Before the stop the
+// settings file is read again on SIGHUP, or when it has changed. A second SIGTERM or
+// interrupt ends the process at once.
 func (c *relayCmd) Run(cli *root, streams *Streams) error {
 	output := logs.NewDroppingWriter(streams.Out)
 	defer output.Close()
@@ -35,11 +41,39 @@
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	c.reloadUntilStop(r, signals)
+	return plannedStop(r.Stop, signals)
+}
+
+// reloadUntilStop reads the settings again on SIGHUP and when the file has changed, and
+// returns at any other signal.
+func (c *relayCmd) reloadUntilStop(r *daemon.Relay, signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	content := c.content()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+			if bytes.Equal(c.content(), content) {
+				continue
+			}
 		}
+		// A file that is being written is read again once it is whole.
+		content = c.content()
 		r.Reload(func() (setup.Relay, error) { return setup.ReadRelay(c.Config) })
 	}
-	return plannedStop(r.Stop, signals)
+}
+
+// content returns the content of the settings file; nil if it cannot be read, of which Reload
+// logs the reason.
+func (c *relayCmd) content() []byte {
+	content, err := os.ReadFile(c.Config)
+	if err != nil {
+		return nil
+	}
+	return content
 }
--- a/fakes/silent.go
+++ b/fakes/silent.go
@@ -7,22 +7,32 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // SilentServer is an HTTP server whose open connections can go silent for good, while new
 // ones work.
 type SilentServer struct {
 	*httptest.Server
-	opened, silent atomic.Int64
+	opened, silent, requests atomic.Int64
+	together                 sync.WaitGroup
 }
 
 // connNumber is the key of the number of a connection in its context.
 type connNumber struct{}
 
-// NewSilentServer starts a server of a handler.
+// idleConnections is the number of connections that are idle before they go silent.
+const idleConnections = 2
+
+// NewSilentServer starts a server of a handler. Its first requests wait for each other, so that
+// idleConnections are idle afterwards.
 func NewSilentServer(handler http.Handler) *SilentServer {
 	s := &SilentServer{}
+	s.together.Add(idleConnections)
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if number, _ := r.Context().Value(connNumber{}).(int64); number <= s.silent.Load() {
 			// The end of the connection is noticed once the body is read.
@@ -30,6 +40,10 @@
 			<-r.Context().Done()
 			return
 		}
+		if s.requests.Add(1) <= idleConnections {
+			s.together.Done()
+			s.together.Wait()
+		}
 		handler.ServeHTTP(w, r)
 	}))
 	s.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
@@ -39,8 +53,18 @@
 	return s
 }
 
+// CheckFresh makes calls on idle connections that go silent, and requires that the call after
+// a failed one uses a fresh connection.
+func (s *SilentServer) CheckFresh(t require.TestingT, call func(timeout time.Duration) error) {
+	var group sync.WaitGroup
+	for range idleConnections {
+		group.Go(func() { require.NoError(t, call(time.Minute)) })
+	}
+	group.Wait()
+	s.silent.Store(s.opened.Load())
+	require.Error(t, call(50*time.Millisecond))
+	require.NoError(t, call(time.Minute))
+}
+
 // Address returns the address of the server.
 func (s *SilentServer) Address() string { return strings.TrimPrefix(s.URL, "http://") }
-
-// Silence makes all open connections silent.
-func (s *SilentServer) Silence() { s.silent.Store(s.opened.Load()) }
