--- a/gossip/contact.go
+++ b/gossip/contact.go
@@ -18,7 +18,8 @@
 
 // recordContact remembers an answer of the store to any host.
 func (t *Table) recordContact(at time.Time) {
-	if at.IsZero() {
+	last := len(t.contacts) - 1
+	if at.IsZero() || (last >= 0 && t.contacts[last].Sub(at) > contactRetention) {
 		return
 	}
 	i, _ := slices.BinarySearchFunc(t.contacts, at, time.Time.Compare)
--- a/share/member.go
+++ b/share/member.go
@@ -89,11 +89,12 @@
 	if m.early {
 		delay = EarlyJoinDelay
 	}
+	joined := m.Started.Add(delay)
 	// A host that finds the others late has to learn from them which rates are owned.
-	if joined, found := m.Started.Add(delay), m.foundAt.Add(AnnounceDelay); found.Before(joined) {
-		return joined
+	if learned := m.foundAt.Add(AnnounceDelay); learned.After(joined) {
+		return learned
 	}
-	return m.foundAt.Add(AnnounceDelay)
+	return joined
 }
 
 // Set sets the hosts that are known now, the local one included.
