--- a/fakes/silent.go
+++ b/fakes/silent.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +64,3 @@
 	require.Error(t, call(50*time.Millisecond))
 	require.NoError(t, call(time.Minute))
 }
-
-// Address returns the address of the server.
-func (s *SilentServer) Address() string { return strings.TrimPrefix(s.URL, "http://") }
--- a/peer/silent_test.go
+++ b/peer/silent_test.go
@@ -19,7 +19,7 @@
 	server.CheckFresh(t, func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
-		_, err := client.Changes(ctx, server.Address(), store.Position{})
+		_, err := client.Changes(ctx, server.Listener.Addr().String(), store.Position{})
 		return err
 	})
 }
