--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -108,13 +108,20 @@
 	portCount = 5000
 )
 
+// reserved holds the addresses that reserveAddress has returned or tried.
+var reserved sync.Map
+
 // reserveAddress returns an address that is free for TCP and UDP. Its port is
 // below the range from which the kernel assigns ports and above the fixed ports of
-// package soak, so that other tests do not get it while no host is running on it.
+// package soak, so that other tests do not get it while no host is running on it. No address
+// is returned twice, since it is free until its host runs.
 func reserveAddress(t *testing.T) string {
 	var address string
 	waitUntil(t, func() bool {
 		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		if _, isReserved := reserved.LoadOrStore(address, true); isReserved {
+			return false
+		}
 		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			return false
