--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -54,6 +54,8 @@
 	name, ip, zone string
 	dir            string
 	ports          ports
+	// processors is the number of processors that the process uses; zero for all.
+	processors int
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -97,6 +99,9 @@
 		return err
 	}
 	h.process = exec.Command("target/hyssophub", "relay", "--config", h.file())
+	if h.processors > 0 {
+		h.process.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", h.processors))
+	}
 	h.process.Stdout, h.process.Stderr = out, out
 	if err := h.process.Start(); err != nil {
 		return err
